--- /dev/null
+++ b/scripts/format.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Formats all sources, or with --check reports those that differ and fails.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.?pp' \
+    'tests/*.?pp')
+if [ ${#files[@]} -eq 0 ]; then
+    exit 0
+fi
+if [ "${1:-}" = --check ]; then
+    clang-format --dry-run --Werror "${files[@]}"
+else
+    clang-format -i "${files[@]}"
+fi
--- /dev/null
+++ b/src/base/token_bucket.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "base/time.hpp"
+
+#include <algorithm>
+
+namespace boragestand
+{
+
+/// Limits a rate, with a burst allowance. Starts full.
+class token_bucket
+{
+public:
+    /// rate is in tokens a second, burst in tokens.
+    token_bucket(double rate, double burst)
+        : rate_(rate), burst_(burst), tokens_(burst)
+    {
+    }
+
+    /// Takes the amount if that much is there.
+    bool take(double amount, time_point now)
+    {
+        refill(now);
+        if (tokens_ < amount)
+        {
+            return false;
+        }
+        tokens_ -= amount;
+        return true;
+    }
+
+    /// Tokens that can be taken now.
+    double available(time_point now)
+    {
+        refill(now);
+        return tokens_;
+    }
+
+private:
+    void refill(time_point now)
+    {
+        if (now <= last_)
+        {
+            return;
+        }
+        const std::chrono::duration<double> passed = now - last_;
+        tokens_ = std::min(burst_, tokens_ + rate_ * passed.count());
+        last_ = now;
+    }
+
+    double rate_;
+    double burst_;
+    double tokens_;
+    time_point last_{};
+};
+
+} // namespace boragestand
--- /dev/null
+++ b/src/coordination/coordination.hpp
@@ -0,0 +1,10 @@
+#pragma once
+
+/// Public header of the coordination library: the decisions about agreement,
+/// membership, ownership, placement and admission. All of them are pure: events
+/// with a time go in, effects come out.
+
+#include "coordination/flow_events.hpp"
+#include "coordination/flow_router.hpp"
+#include "coordination/traffic_policy.hpp"
+#include "coordination/traffic_types.hpp"
--- /dev/null
+++ b/src/settings/placeholder.cpp
@@ -0,0 +1,1 @@
+#include "settings/settings.hpp"
--- /dev/null
+++ b/src/state/state.hpp
@@ -0,0 +1,6 @@
+#pragma once
+
+/// Public header of the state library: the replicated configuration and the
+/// tables and files that hold the state of a process.
+
+#include "state/configuration.hpp"
--- /dev/null
+++ b/src/transport/http2_client.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "base/base.hpp"
+#include "transport/endpoint.hpp"
+#include "transport/http2_message.hpp"
+#include "transport/main_loop.hpp"
+#include "transport/timer_service.hpp"
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace boragestand::transport
+{
+
+/// An HTTP/2 connection without TLS to one endpoint. Connects when it is first
+/// used and again after a loss; requests in flight at a loss fail with
+/// error_kind::unavailable and are not sent again.
+class http2_client
+{
+public:
+    using response_callback = std::function<void(result<http_response>)>;
+
+    /// Callbacks of a streamed response.
+    struct stream_callbacks
+    {
+        std::function<void(int status)> on_headers;
+        std::function<void(std::string_view bytes)> on_chunk;
+        /// Called once at the end; an error if the stream was cut.
+        std::function<void(result<void>)> on_end;
+    };
+
+    http2_client(main_loop& loop, timer_service& timers,
+                 const endpoint& remote);
+    ~http2_client();
+
+    /// Sends a request; the callback runs once, with error_kind::timeout if no
+    /// whole response came in time.
+    void request(http_request request, duration timeout,
+                 response_callback callback);
+
+    /// Sends a request whose response body is delivered in parts. The stream
+    /// ends when the subscription is destroyed.
+    subscription stream(http_request request, stream_callbacks callbacks);
+
+    /// The remote endpoint.
+    endpoint remote_endpoint() const;
+
+private:
+    struct implementation;
+    std::shared_ptr<implementation> implementation_;
+};
+
+} // namespace boragestand::transport
--- /dev/null
+++ b/src/transport/transport.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+/// Public header of the transport library: main loop, timer service, UDP
+/// sockets and HTTP/2 connections. Nothing here knows the messages it carries.
+
+#include "transport/endpoint.hpp"
+#include "transport/http2_client.hpp"
+#include "transport/http2_message.hpp"
+#include "transport/http2_server.hpp"
+#include "transport/main_loop.hpp"
+#include "transport/timer_service.hpp"
+#include "transport/udp_socket.hpp"
+#include "transport/unique_fd.hpp"
--- /dev/null
+++ b/src/transport/udp_socket.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "base/base.hpp"
+#include "transport/endpoint.hpp"
+#include "transport/unique_fd.hpp"
+
+#include <array>
+#include <cstddef>
+#include <memory>
+#include <span>
+#include <vector>
+
+namespace boragestand::transport
+{
+
+/// Largest datagram in bytes that is received whole; longer ones are dropped
+/// and counted.
+constexpr std::size_t max_datagram_size = 2048;
+
+/// Datagrams that one system call moves at most.
+constexpr std::size_t datagram_batch_size = 64;
+
+/// A datagram to send: up to two parts, which the kernel joins, so that a new
+/// header can stand before an unchanged payload. Parts must outlive flush().
+struct outgoing_datagram
+{
+    endpoint destination;
+    std::span<const std::byte> head;
+    std::span<const std::byte> body;
+};
+
+/// A received datagram; the bytes live until the next receive call.
+struct incoming_datagram
+{
+    endpoint source;
+    std::span<std::byte> bytes;
+};
+
+/// Counters of one socket since it was opened.
+struct udp_counters
+{
+    std::uint64_t received{0};
+    std::uint64_t sent{0};
+    std::uint64_t truncated{0};
+    std::uint64_t send_failures{0};
+};
+
+/// A non-blocking IPv4 UDP socket that moves datagrams in batches with
+/// recvmmsg and sendmmsg.
+class udp_socket
+{
+public:
+    /// Binds to a local endpoint; error_kind::unavailable if that fails.
+    static result<udp_socket> bind(const endpoint& local);
+
+    ~udp_socket();
+    udp_socket(udp_socket&&) noexcept;
+    udp_socket& operator=(udp_socket&&) noexcept;
+
+    /// Descriptor for main_loop::watch.
+    int fd() const;
+
+    /// The bound endpoint, with the port that the kernel chose if 0 was asked.
+    endpoint local_endpoint() const;
+
+    /// Receives up to datagram_batch_size datagrams without blocking. Empty
+    /// when none waits.
+    std::span<const incoming_datagram> receive();
+
+    /// Sends datagrams without blocking; those that the kernel does not take
+    /// are dropped and counted, as on a network.
+    void send(std::span<const outgoing_datagram> datagrams);
+
+    /// Sends one datagram.
+    void send_to(const endpoint& destination, std::span<const std::byte> bytes);
+
+    /// Counters since the socket was opened.
+    const udp_counters& counters() const;
+
+private:
+    struct implementation;
+    explicit udp_socket(std::unique_ptr<implementation> implementation);
+    std::unique_ptr<implementation> implementation_;
+};
+
+} // namespace boragestand::transport
