Implement loop, timers, UDP and HTTP/2 transport

All programs need one loop on GLib's default context, batched UDP sockets and HTTP/2 without TLS. The headers were there; this adds their code.

nghttp2 forbids calls of its send and receive functions from its callbacks, so callbacks queue events that run after nghttp2 has returned.

main_loop gets schedule(), which timer_service uses.

--- /dev/null
+++ b/src/transport/http2_body.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <nghttp2/nghttp2.h>
+
+#include <algorithm>
+#include <cstring>
+#include <string>
+#include <string_view>
+
+namespace boragestand::transport
+{
+
+/// Body that nghttp2 reads part by part while it may still grow.
+class http2_body
+{
+public:
+    /// Appends bytes.
+    void append(std::string_view bytes)
+    {
+        bytes_.erase(0, taken_);
+        taken_ = 0;
+        bytes_.append(bytes);
+    }
+
+    /// No bytes follow.
+    void finish() { finished_ = true; }
+
+    /// Whether finish() was called.
+    bool is_finished() const { return finished_; }
+
+    /// Bytes that nghttp2 has not taken yet.
+    std::size_t size() const { return bytes_.size() - taken_; }
+
+    /// Gives nghttp2 the next part, in the form of its read callback.
+    ssize_t read(std::uint8_t* target, std::size_t room, std::uint32_t* flags)
+    {
+        const std::size_t count = std::min(room, size());
+        std::memcpy(target, bytes_.data() + taken_, count);
+        taken_ += count;
+        if (size() > 0)
+        {
+            return static_cast<ssize_t>(count);
+        }
+        if (finished_)
+        {
+            *flags |= NGHTTP2_DATA_FLAG_EOF;
+            return static_cast<ssize_t>(count);
+        }
+        return count > 0 ? static_cast<ssize_t>(count)
+                         : static_cast<ssize_t>(NGHTTP2_ERR_DEFERRED);
+    }
+
+private:
+    std::string bytes_;
+    std::size_t taken_{0};
+    bool finished_{false};
+};
+
+} // namespace boragestand::transport
--- /dev/null
+++ b/src/transport/http2_client.cpp
@@ -0,0 +1,296 @@
+#include "transport/http2_client.hpp"
+
+#include "transport/http2_client_connection.hpp"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace boragestand::transport
+{
+
+namespace
+{
+
+// Requests that wait for a response at once; more fail at once, so that a
+// peer that does not answer cannot make the queue grow.
+constexpr std::size_t max_open_requests = 1024;
+
+} // namespace
+
+struct http2_client::implementation
+    : std::enable_shared_from_this<implementation>
+{
+    struct call
+    {
+        std::weak_ptr<http2_client_connection> connection;
+        std::int32_t stream{-1};
+        subscription timeout;
+        http_response response;
+        response_callback callback;
+    };
+
+    main_loop& loop;
+    timer_service& timers;
+    endpoint remote;
+    std::vector<std::shared_ptr<http2_client_connection>> connections;
+    std::map<std::uint64_t, call> calls;
+    std::uint64_t next_call{1};
+
+    implementation(main_loop& owner, timer_service& clock, const endpoint& peer)
+        : loop(owner), timers(clock), remote(peer)
+    {
+    }
+
+    std::shared_ptr<http2_client_connection> usable_connection()
+    {
+        const auto found = std::find_if(connections.begin(), connections.end(),
+                                        [](const auto& connection) {
+                                            return connection->takes_requests();
+                                        });
+        if (found != connections.end())
+        {
+            return *found;
+        }
+        auto opened = http2_client_connection::connect(
+            loop, remote,
+            [weak = weak_from_this()](http2_client_connection* closed)
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->remove(closed);
+                }
+            });
+        if (opened)
+        {
+            connections.push_back(opened);
+        }
+        return opened;
+    }
+
+    void remove(http2_client_connection* closed)
+    {
+        std::erase_if(connections, [closed](const auto& connection)
+                      { return connection.get() == closed; });
+    }
+
+    std::size_t open_streams() const
+    {
+        std::size_t total = 0;
+        for (const auto& connection : connections)
+        {
+            total += connection->open_streams();
+        }
+        return total;
+    }
+
+    // Ends the call with the error on the next turn of the loop, so that a
+    // callback never runs before request() has returned.
+    void fail_later(std::uint64_t id, error reason)
+    {
+        loop.post(
+            [weak = weak_from_this(), id, reason = std::move(reason)]
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->finish(id, tl::unexpected<error>(reason));
+                }
+            });
+    }
+
+    void finish(std::uint64_t id, result<void> outcome)
+    {
+        const auto found = calls.find(id);
+        if (found == calls.end())
+        {
+            return;
+        }
+        call done = std::move(found->second);
+        calls.erase(found);
+        if (!outcome)
+        {
+            done.callback(tl::unexpected<error>(outcome.error()));
+            return;
+        }
+        done.callback(std::move(done.response));
+    }
+
+    void abort(std::uint64_t id, error_kind kind, const std::string& message)
+    {
+        const auto found = calls.find(id);
+        if (found == calls.end())
+        {
+            return;
+        }
+        if (const auto connection = found->second.connection.lock())
+        {
+            connection->cancel(found->second.stream);
+        }
+        finish(id, failure(kind, message));
+    }
+
+    void add_chunk(std::uint64_t id, std::string_view bytes)
+    {
+        const auto found = calls.find(id);
+        if (found == calls.end())
+        {
+            return;
+        }
+        std::string& body = found->second.response.body;
+        if (body.size() + bytes.size() > max_body_size)
+        {
+            abort(id, error_kind::resource_exhausted,
+                  "The response of " + to_string(remote) + " is too large.");
+            return;
+        }
+        body.append(bytes);
+    }
+
+    void set_headers(std::uint64_t id, int status, http_headers headers)
+    {
+        const auto found = calls.find(id);
+        if (found != calls.end())
+        {
+            found->second.response.status = status;
+            found->second.response.headers = std::move(headers);
+        }
+    }
+
+    void submit(std::uint64_t id, http_request request)
+    {
+        if (open_streams() >= max_open_requests)
+        {
+            fail_later(id, {error_kind::resource_exhausted,
+                            "Too many requests to " + to_string(remote) +
+                                " wait for a response."});
+            return;
+        }
+        const auto connection = usable_connection();
+        const auto weak = weak_from_this();
+        const std::int32_t stream =
+            connection
+                ? connection->submit(
+                      std::move(request),
+                      [weak, id](int status, http_headers headers)
+                      {
+                          if (const auto self = weak.lock())
+                          {
+                              self->set_headers(id, status, std::move(headers));
+                          }
+                      },
+                      [weak, id](std::string_view bytes)
+                      {
+                          if (const auto self = weak.lock())
+                          {
+                              self->add_chunk(id, bytes);
+                          }
+                      },
+                      [weak, id](result<void> outcome)
+                      {
+                          if (const auto self = weak.lock())
+                          {
+                              self->finish(id, std::move(outcome));
+                          }
+                      })
+                : -1;
+        if (stream < 0)
+        {
+            fail_later(id, {error_kind::unavailable,
+                            to_string(remote) + " cannot be reached."});
+            return;
+        }
+        calls[id].connection = connection;
+        calls[id].stream = stream;
+    }
+
+    void start(http_request request, duration timeout,
+               response_callback callback)
+    {
+        const std::uint64_t id = next_call++;
+        call& added = calls[id];
+        added.callback = std::move(callback);
+        added.timeout = timers.after(timeout,
+                                     [this, id](time_point)
+                                     {
+                                         abort(id, error_kind::timeout,
+                                               to_string(remote) +
+                                                   " did not answer in time.");
+                                     });
+        submit(id, std::move(request));
+    }
+
+    void close()
+    {
+        calls.clear();
+        for (const auto& connection : std::exchange(connections, {}))
+        {
+            connection->abandon();
+        }
+    }
+};
+
+http2_client::http2_client(main_loop& loop, timer_service& timers,
+                           const endpoint& remote)
+    : implementation_(std::make_shared<implementation>(loop, timers, remote))
+{
+}
+
+http2_client::~http2_client()
+{
+    implementation_->close();
+}
+
+void http2_client::request(http_request request, duration timeout,
+                           response_callback callback)
+{
+    implementation_->start(std::move(request), timeout, std::move(callback));
+}
+
+subscription http2_client::stream(http_request request,
+                                  stream_callbacks callbacks)
+{
+    const auto connection = implementation_->usable_connection();
+    const auto shared =
+        std::make_shared<stream_callbacks>(std::move(callbacks));
+    const std::int32_t id =
+        connection
+            ? connection->submit(
+                  std::move(request),
+                  [shared](int status, const http_headers&)
+                  { shared->on_headers(status); },
+                  [shared](std::string_view bytes) { shared->on_chunk(bytes); },
+                  [shared](result<void> outcome)
+                  { shared->on_end(std::move(outcome)); })
+            : -1;
+    if (id < 0)
+    {
+        const auto wanted = std::make_shared<bool>(true);
+        implementation_->loop.post(
+            [wanted, shared, remote = remote_endpoint()]
+            {
+                if (*wanted)
+                {
+                    shared->on_end(
+                        failure(error_kind::unavailable,
+                                to_string(remote) + " cannot be reached."));
+                }
+            });
+        return subscription([wanted] { *wanted = false; });
+    }
+    return subscription(
+        [weak = std::weak_ptr(connection), id]
+        {
+            if (const auto still_open = weak.lock())
+            {
+                still_open->cancel(id);
+            }
+        });
+}
+
+endpoint http2_client::remote_endpoint() const
+{
+    return implementation_->remote;
+}
+
+} // namespace boragestand::transport
--- a/src/transport/http2_client.hpp
+++ b/src/transport/http2_client.hpp
@@ -32,6 +32,8 @@
 
     http2_client(main_loop& loop, timer_service& timers,
                  const endpoint& remote);
+
+    /// Closes the connection; callbacks of open requests do not run.
     ~http2_client();
 
     /// Sends a request; the callback runs once, with error_kind::timeout if no
--- a/src/transport/http2_server.hpp
+++ b/src/transport/http2_server.hpp
@@ -55,7 +55,7 @@
     static result<std::unique_ptr<http2_server>>
     listen(main_loop& loop, const endpoint& local, handler handle);
 
-    /// Closes all connections.
+    /// Closes all connections; open exchanges are abandoned.
     ~http2_server();
 
     /// The bound endpoint.
--- a/src/transport/main_loop.hpp
+++ b/src/transport/main_loop.hpp
@@ -61,7 +61,13 @@
     /// SIGTERM, SIGHUP or SIGUSR1).
     subscription on_signal(int signal_number, std::function<void()> callback);
 
-    /// Calls back once on the next turn of the loop.
+    /// Calls back after the delay, once or each time it has passed again. The
+    /// resolution is one millisecond, rounded up.
+    subscription schedule(duration delay, bool repeat,
+                          std::function<void()> callback);
+
+    /// Calls back once on the next turn of the loop, unless the loop is
+    /// destroyed before.
     void post(std::function<void()> callback);
 
 private:
--- a/src/transport/udp_socket.hpp
+++ b/src/transport/udp_socket.hpp
@@ -21,7 +21,7 @@
 constexpr std::size_t datagram_batch_size = 64;
 
 /// A datagram to send: up to two parts, which the kernel joins, so that a new
-/// header can stand before an unchanged payload. Parts must outlive flush().
+/// header can stand before an unchanged payload. Parts must outlive send().
 struct outgoing_datagram
 {
     endpoint destination;
