--- /dev/null
+++ b/src/protocol/msgpack_fields.cpp
@@ -0,0 +1,100 @@
+#include "protocol/msgpack_fields.hpp"
+
+namespace boragestand::protocol
+{
+
+namespace
+{
+
+// No message nests deeper than a list of records within a variant.
+constexpr std::size_t max_nesting = 8;
+
+const msgpack::object_array& checked_array(const msgpack::object& object,
+                                           std::size_t count)
+{
+    if (object.type != msgpack::type::ARRAY || object.via.array.size != count)
+    {
+        throw malformed_field("array of other length expected");
+    }
+    return object.via.array;
+}
+
+} // namespace
+
+field_reader::field_reader(const msgpack::object& object, std::size_t count)
+    : fields_(checked_array(object, count))
+{
+}
+
+const msgpack::object& field_reader::next()
+{
+    if (position_ >= fields_.size)
+    {
+        throw malformed_field("field missing");
+    }
+    return fields_.ptr[position_++];
+}
+
+std::uint64_t field_reader::unsigned_number()
+{
+    const msgpack::object& field = next();
+    if (field.type != msgpack::type::POSITIVE_INTEGER)
+    {
+        throw malformed_field("number expected");
+    }
+    return field.via.u64;
+}
+
+bool field_reader::flag()
+{
+    const msgpack::object& field = next();
+    if (field.type != msgpack::type::BOOLEAN)
+    {
+        throw malformed_field("bool expected");
+    }
+    return field.via.boolean;
+}
+
+std::string field_reader::bytes(std::size_t limit)
+{
+    const msgpack::object& field = next();
+    if (field.type != msgpack::type::BIN || field.via.bin.size > limit)
+    {
+        throw malformed_field("byte string expected or too long");
+    }
+    return {field.via.bin.ptr, field.via.bin.size};
+}
+
+const msgpack::object_array& field_reader::list(std::size_t limit)
+{
+    const msgpack::object& field = next();
+    if (field.type != msgpack::type::ARRAY || field.via.array.size > limit)
+    {
+        throw malformed_field("list expected or too long");
+    }
+    return field.via.array;
+}
+
+msgpack::object_handle unpack_whole(std::string_view bytes)
+{
+    const auto size = bytes.size();
+    const msgpack::unpack_limit limit(size, size, size, size, size,
+                                      max_nesting);
+    try
+    {
+        std::size_t offset = 0;
+        auto handle = msgpack::unpack(bytes.data(), size, offset, nullptr,
+                                      nullptr, limit);
+        if (offset != size)
+        {
+            throw malformed_field("bytes after the end");
+        }
+        return handle;
+    }
+    catch (const msgpack::unpack_error& problem)
+    {
+        throw malformed_field(problem.what());
+    }
+}
+
+} // namespace boragestand::protocol
--- a/src/protocol/protocol.hpp
+++ b/src/protocol/protocol.hpp
@@ -2,6 +2,7 @@
 
 /// Public header of the protocol library: message types and their codecs.
 
+#include "protocol/agreement_messages.hpp"
 #include "protocol/entry_messages.hpp"
 #include "protocol/flow_key.hpp"
 #include "protocol/geneve.hpp"
--- /dev/null
+++ b/src/state/checked_file.cpp
@@ -0,0 +1,36 @@
+#include "state/checked_file.hpp"
+
+#include "state/record_frame.hpp"
+
+namespace boragestand::state
+{
+
+result<std::string> read_checked_file(disk& files, std::string_view name)
+{
+    const auto content = files.read(name);
+    if (!content)
+    {
+        return content;
+    }
+    const frame_scan frame = scan_frame(*content, 0);
+    if (frame.state != frame_state::valid || frame.end != content->size())
+    {
+        return failure(error_kind::storage_corrupt,
+                       std::string(name) + " at offset 0: checksum mismatch");
+    }
+    return std::string(frame.payload);
+}
+
+result<void> replace_checked_file(disk& files, std::string_view name,
+                                  std::string_view payload)
+{
+    const std::string temporary =
+        std::string(name) + std::string(temporary_suffix);
+    return files.remove(temporary)
+        .and_then([&] { return files.append(temporary, make_frame(payload)); })
+        .and_then([&] { return files.sync(temporary); })
+        .and_then([&] { return files.rename(temporary, name); })
+        .and_then([&] { return files.sync_directory(); });
+}
+
+} // namespace boragestand::state
--- a/src/state/state.hpp
+++ b/src/state/state.hpp
@@ -4,3 +4,7 @@
 /// tables and files that hold the state of a process.
 
 #include "state/configuration.hpp"
+#include "state/durable_log.hpp"
+#include "state/file_disk.hpp"
+#include "state/hard_state_store.hpp"
+#include "state/snapshot_store.hpp"
--- /dev/null
+++ b/tests/state/durable_storage_test.cpp
@@ -0,0 +1,334 @@
+#include "../support/crash_disk.hpp"
+#include "state/state.hpp"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+namespace boragestand::state
+{
+
+namespace
+{
+
+using protocol::agreement_snapshot;
+using protocol::entry_kind;
+using protocol::log_entry;
+using testing::crash_disk;
+using testing::crash_point;
+
+constexpr std::uint64_t segment_size = 300;
+
+// Stops the test program where a preparation fails.
+void must(const result<void>& outcome)
+{
+    if (!outcome)
+    {
+        throw std::runtime_error(outcome.error().message);
+    }
+}
+
+std::vector<log_entry> entries(std::uint64_t first, std::uint64_t count,
+                               std::uint64_t term)
+{
+    std::vector<log_entry> list;
+    for (std::uint64_t index = first; index < first + count; ++index)
+    {
+        list.push_back({index, term, entry_kind::command,
+                        std::string(40, static_cast<char>('a' + index % 26)) +
+                            std::to_string(term)});
+    }
+    return list;
+}
+
+// The expected content of the storage: what was acknowledged, and the one
+// operation that was under way at a stop.
+struct expectation
+{
+    agreement_snapshot snapshot;
+    std::vector<log_entry> log;
+    hard_state hard;
+
+    void append(const std::vector<log_entry>& added)
+    {
+        log.resize(added.front().index - snapshot.last.index - 1);
+        log.insert(log.end(), added.begin(), added.end());
+    }
+
+    // The content that a recovery gives for this state.
+    bool fits(const agreement_snapshot& found,
+              const std::vector<log_entry>& recovered) const
+    {
+        return found == snapshot && recovered == log;
+    }
+};
+
+// One storage with the operations of a replica's life.
+class workload
+{
+public:
+    explicit workload(crash_disk& files)
+        : files_(files), hard_(files), snapshots_(files)
+    {
+        must(hard_.create(replica_id{7}));
+        log_ = durable_log::open(files, {}, recovery_, segment_size).value();
+    }
+
+    void run()
+    {
+        append(entries(1, 3, 1));
+        vote(2);
+        append(entries(4, 6, 2));
+        append(entries(8, 3, 3)); // replaces 8 and 9
+        take_snapshot(6);
+        append(entries(11, 5, 3));
+        vote(4);
+        install_snapshot(40, 4);
+        append(entries(41, 4, 4));
+        append(entries(43, 1, 5));
+        take_snapshot(42);
+    }
+
+    expectation done;
+    expectation under_way;
+
+private:
+    void append(const std::vector<log_entry>& added)
+    {
+        under_way.append(added);
+        must(log_->append(added));
+        done = under_way;
+    }
+
+    void vote(std::uint64_t term)
+    {
+        under_way.hard = {replica_id{7}, term, replica_id{term}};
+        must(hard_.save(under_way.hard));
+        done = under_way;
+    }
+
+    void take_snapshot(std::uint64_t index)
+    {
+        auto& log = under_way.log;
+        const auto count =
+            static_cast<std::ptrdiff_t>(index - under_way.snapshot.last.index);
+        const auto last = log[static_cast<std::size_t>(count) - 1];
+        under_way.snapshot = {{last.index, last.term}, {}, "state"};
+        log.erase(log.begin(), log.begin() + count);
+        must(snapshots_.save(under_way.snapshot));
+        must(log_->compact(index));
+        done = under_way;
+    }
+
+    void install_snapshot(std::uint64_t index, std::uint64_t term)
+    {
+        under_way.snapshot = {{index, term}, {}, "installed"};
+        under_way.log.clear();
+        must(snapshots_.save(under_way.snapshot));
+        must(log_->reset({index, term}));
+        done = under_way;
+    }
+
+    crash_disk& files_;
+    hard_state_store hard_;
+    snapshot_store snapshots_;
+    log_recovery recovery_;
+    std::optional<durable_log> log_;
+};
+
+struct recovered_storage
+{
+    agreement_snapshot snapshot;
+    log_recovery recovery;
+    hard_state hard;
+};
+
+result<recovered_storage> recover(crash_disk& files)
+{
+    recovered_storage found;
+    hard_state_store hard(files);
+    const auto condition = hard.examine();
+    if (!condition)
+    {
+        return tl::unexpected(condition.error());
+    }
+    found.hard = hard.current();
+    const auto snapshot = snapshot_store(files).load();
+    if (!snapshot)
+    {
+        return tl::unexpected(snapshot.error());
+    }
+    found.snapshot = snapshot->value_or(agreement_snapshot{});
+    const auto log = durable_log::open(files, found.snapshot.last,
+                                       found.recovery, segment_size);
+    if (!log)
+    {
+        return tl::unexpected(log.error());
+    }
+    return found;
+}
+
+} // namespace
+
+// Guards against acknowledged data that a crash loses, against data that was
+// never written, and against a crash after which the storage does not open.
+TEST(durable_storage, keeps_acknowledged_state_at_each_crash_point)
+{
+    crash_disk whole;
+    workload complete(whole);
+    const auto first = whole.operations();
+    complete.run();
+    const auto last = whole.operations();
+    ASSERT_GT(last, first + 40);
+    for (std::uint64_t at = 0; at < (last - first) * 8; ++at)
+    {
+        SCOPED_TRACE("crash point " + std::to_string(at / 8) + " seed " +
+                     std::to_string(at));
+        crash_disk files(at);
+        workload life(files);
+        files.stop_at(at / 8);
+        EXPECT_THROW(life.run(), crash_point);
+        files.lose_unsynced();
+
+        const auto found = recover(files);
+        ASSERT_TRUE(found) << found.error().message;
+        const auto& snapshot = found->snapshot;
+        const auto& log = found->recovery.entries;
+        EXPECT_TRUE(life.done.fits(snapshot, log) ||
+                    life.under_way.fits(snapshot, log));
+        EXPECT_GE(found->hard.term, life.done.hard.term);
+        EXPECT_LE(found->hard.term, life.under_way.hard.term);
+
+        // Recovery repairs, so a second one finds nothing torn.
+        const auto again = recover(files);
+        ASSERT_TRUE(again);
+        EXPECT_EQ(again->recovery.torn_file, "");
+        EXPECT_EQ(again->recovery.entries, log);
+    }
+}
+
+// Guards against damage that recovery takes for a torn tail and cuts off.
+TEST(durable_storage, refuses_every_changed_byte_and_keeps_the_file)
+{
+    crash_disk files;
+    workload(files).run();
+    const auto names = files.list().value();
+    for (const auto& name : names)
+    {
+        const auto original = files.read(name).value();
+        for (std::size_t at = 0; at < original.size(); ++at)
+        {
+            SCOPED_TRACE(name + " byte " + std::to_string(at));
+            files.edit(name, [at](std::string& text) { text[at] ^= 0x20; });
+            const auto damaged = files.read(name).value();
+            const auto found = recover(files);
+            ASSERT_FALSE(found);
+            EXPECT_EQ(found.error().kind, error_kind::storage_corrupt);
+            EXPECT_NE(found.error().message.find(name), std::string::npos);
+            EXPECT_NE(found.error().message.find("at offset"),
+                      std::string::npos);
+            EXPECT_EQ(files.read(name).value(), damaged);
+            files.edit(name, [&](std::string& text) { text = original; });
+        }
+    }
+}
+
+// Guards against an interrupted last write that stops the program, and against
+// a repair that goes unreported or removes more than the last record.
+TEST(durable_storage, cuts_a_torn_tail_and_reports_it)
+{
+    crash_disk files;
+    workload life(files);
+    life.run();
+    const auto names = files.list().value();
+    const auto newest = *std::find_if(names.rbegin(), names.rend(),
+                                      [](const std::string& name)
+                                      { return name.starts_with("log-"); });
+    const auto original = files.read(newest).value();
+    const auto last_record = original.rfind("BSR1");
+    for (auto size = last_record + 1; size < original.size(); ++size)
+    {
+        SCOPED_TRACE(size);
+        files.edit(newest,
+                   [&](std::string& text) { text = original.substr(0, size); });
+        const auto found = recover(files);
+        ASSERT_TRUE(found) << found.error().message;
+        EXPECT_EQ(found->recovery.torn_file, newest);
+        EXPECT_EQ(found->recovery.torn_offset, last_record);
+        EXPECT_EQ(found->recovery.torn_bytes, size - last_record);
+        EXPECT_EQ(files.read(newest).value().size(), last_record);
+    }
+}
+
+// Guards against a lost disk that is taken for a known one, or a damaged one
+// that is taken for a new one and given another vote.
+TEST(durable_storage, tells_empty_known_and_damaged_directories_apart)
+{
+    struct fault_case
+    {
+        const char* name;
+        std::vector<std::string> lost;
+        std::optional<disk_condition> expected;
+    };
+    const std::vector<fault_case> cases{
+        {"intact", {}, disk_condition::known},
+        {"all lost",
+         {"identity", "hard-state", "log-000000000001.segment"},
+         disk_condition::empty},
+        {"identity lost", {"identity"}, std::nullopt},
+        {"hard state lost", {"hard-state"}, std::nullopt},
+        {"both lost, log there", {"identity", "hard-state"}, std::nullopt},
+    };
+    for (const auto& fault : cases)
+    {
+        SCOPED_TRACE(fault.name);
+        crash_disk files;
+        must(hard_state_store(files).create(replica_id{9}));
+        log_recovery recovery;
+        must(durable_log::open(files, {}, recovery)->append(entries(1, 1, 1)));
+        for (const auto& name : fault.lost)
+        {
+            must(files.remove(name));
+        }
+        const auto condition = hard_state_store(files).examine();
+        EXPECT_EQ(condition.has_value(), fault.expected.has_value());
+        EXPECT_EQ(condition ? std::optional(*condition) : std::nullopt,
+                  fault.expected);
+    }
+}
+
+// Guards against two processes that write to one data directory, and checks
+// the storage on the real file system.
+TEST(durable_storage, works_on_files_and_locks_its_directory)
+{
+    const std::string path =
+        ::testing::TempDir() + "durable_storage_" + std::to_string(::getpid());
+    {
+        auto files = file_disk::open(path).value();
+        EXPECT_EQ(file_disk::open(path).error().kind,
+                  error_kind::storage_failure);
+        must(hard_state_store(*files).create(replica_id{3}));
+        log_recovery recovery;
+        auto log =
+            durable_log::open(*files, {}, recovery, segment_size).value();
+        must(log.append(entries(1, 20, 1)));
+        must(log.append(entries(21, 2, 1)));
+        must(snapshot_store(*files).save({{20, 1}, {}, "s"}));
+        must(log.compact(20));
+    }
+    auto files = file_disk::open(path).value();
+    EXPECT_EQ(hard_state_store(*files).examine().value(),
+              disk_condition::known);
+    const auto snapshot = snapshot_store(*files).load().value();
+    EXPECT_EQ(snapshot->data, "s");
+    log_recovery recovery;
+    auto log = durable_log::open(*files, snapshot->last, recovery).value();
+    EXPECT_EQ(recovery.entries, entries(21, 2, 1));
+    const auto names = files->list().value();
+    for (const auto& name : names)
+    {
+        must(files->remove(name));
+    }
+    ::rmdir(path.c_str());
+}
+
+} // namespace boragestand::state
