Add agreement_node, a pure replica of the replicated log

Replacing a lost disk removes the old identity and admits the new one as a learner in one entry, so the set of voters changes by one. Exchanging a voter for another in one entry was ruled out: majorities before and after would not overlap.

--- /dev/null
+++ b/src/coordination/agreement_core.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "coordination/agreement_events.hpp"
+#include "coordination/agreement_log.hpp"
+
+namespace boragestand::coordination
+{
+
+/// What all roles of a replica share: term, vote, log, commit index and the
+/// effects of the current step. Orders effects so that everything is durable
+/// before a message leaves.
+class agreement_core
+{
+public:
+    agreement_core(agreement_start start, const agreement_settings& settings);
+
+    const agreement_settings& settings() const { return settings_; }
+    replica_id self() const { return hard_.self; }
+    std::uint64_t term() const { return hard_.term; }
+    replica_id vote() const { return hard_.vote; }
+    const agreement_log& log() const { return log_; }
+    std::uint64_t commit() const { return commit_; }
+
+    /// Whether this replica votes according to its newest group.
+    bool is_voter() const { return log_.group().is_voter(self()); }
+
+    /// Changes term and vote.
+    void change_term(std::uint64_t term, replica_id vote);
+
+    /// Appends one entry of the current term and returns its index.
+    std::uint64_t append_own(protocol::entry_kind kind, std::string data);
+
+    /// Stores entries of a leader that follow a matching position; skips those
+    /// that are there already. False if they contradict a committed entry.
+    bool store(const std::vector<protocol::log_entry>& entries);
+
+    /// Commits entries up to an index and hands them to the state machine.
+    void commit_to(std::uint64_t index);
+
+    /// Replaces log and state machine by a leader's snapshot.
+    void install(protocol::agreement_snapshot snapshot);
+
+    /// Compacts the log; ignored unless the index is committed and not yet
+    /// compacted.
+    void compact(const snapshot_taken& taken);
+
+    /// Adds a message to the effects.
+    void send(replica_id to, const transport::endpoint& address,
+              protocol::agreement_message message, std::uint64_t term);
+
+    /// Adds a message of the current term to a member of the group.
+    void send_to_member(replica_id to, protocol::agreement_message message);
+
+    /// Adds an effect that is not about storage.
+    void emit(agreement_effect effect);
+
+    /// Ends the step and gives its effects in order.
+    agreement_effects take_effects();
+
+private:
+    void want_snapshot();
+
+    agreement_settings settings_;
+    state::hard_state hard_;
+    transport::endpoint address_;
+    agreement_log log_;
+    std::uint64_t commit_{0};
+    std::uint64_t wanted_snapshot_{0};
+
+    bool hard_state_changed_{false};
+    std::vector<protocol::log_entry> unsaved_;
+    std::optional<persist_snapshot> unsaved_snapshot_;
+    agreement_effects effects_;
+};
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/agreement_election.cpp
@@ -0,0 +1,101 @@
+#include "coordination/agreement_election.hpp"
+
+namespace boragestand::coordination
+{
+
+agreement_election::agreement_election(agreement_core& core, std::uint64_t seed)
+    : core_(core), random_(seed)
+{
+}
+
+void agreement_election::restart_timeout(time_point now)
+{
+    const duration least = core_.settings().election_timeout;
+    const auto extra = random_.below(static_cast<std::uint64_t>(least.count()));
+    deadline_ = now + least + duration(static_cast<duration::rep>(extra));
+}
+
+agreement_election::outcome agreement_election::start_pre_vote()
+{
+    return ask(true, false);
+}
+
+agreement_election::outcome agreement_election::start_vote(bool transfer)
+{
+    core_.change_term(core_.term() + 1, core_.self());
+    return ask(false, transfer);
+}
+
+agreement_election::outcome agreement_election::ask(bool pre_vote,
+                                                    bool transfer)
+{
+    pre_vote_ = pre_vote;
+    granted_ = {core_.self()};
+    refused_.clear();
+    const auto term = core_.term() + (pre_vote ? 1 : 0);
+    const protocol::vote_request request{pre_vote, transfer,
+                                         core_.log().last()};
+    for (const auto& member : core_.log().group().members)
+    {
+        if (member.voter && member.id != core_.self())
+        {
+            core_.send(member.id, member.address, request, term);
+        }
+    }
+    return tally();
+}
+
+agreement_election::outcome
+agreement_election::count(replica_id from, const protocol::vote_reply& reply)
+{
+    if (reply.pre_vote != pre_vote_)
+    {
+        return outcome::open;
+    }
+    (reply.granted ? granted_ : refused_).insert(from);
+    return tally();
+}
+
+agreement_election::outcome agreement_election::tally() const
+{
+    const auto& group = core_.log().group();
+    const auto voters_in = [&group](const std::set<replica_id>& ids)
+    {
+        std::size_t count = 0;
+        for (const auto id : ids)
+        {
+            count += group.is_voter(id) ? 1 : 0;
+        }
+        return count;
+    };
+    if (voters_in(granted_) * 2 > group.voter_count())
+    {
+        return outcome::won;
+    }
+    const bool hopeless = voters_in(refused_) * 2 >= group.voter_count();
+    return hopeless ? outcome::lost : outcome::open;
+}
+
+bool agreement_election::answer(const protocol::agreement_envelope& envelope,
+                                const protocol::vote_request& request)
+{
+    const auto own = core_.log().last();
+    const bool complete =
+        request.last.term > own.term ||
+        (request.last.term == own.term && request.last.index >= own.index);
+    const bool free = request.pre_vote ? envelope.term > core_.term()
+                                       : core_.vote().value == 0 ||
+                                             core_.vote() == envelope.from;
+    const bool granted = complete && free;
+    if (granted && !request.pre_vote)
+    {
+        core_.change_term(core_.term(), envelope.from);
+    }
+    // A granted pre-vote carries the term that it is about.
+    const auto term = granted ? envelope.term : core_.term();
+    core_.send(envelope.from, envelope.reply_to,
+               protocol::vote_reply{request.pre_vote, granted}, term);
+    return granted && !request.pre_vote;
+}
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/agreement_leader.cpp
@@ -0,0 +1,355 @@
+#include "coordination/agreement_leader.hpp"
+
+#include "coordination/agreement_membership.hpp"
+
+#include <algorithm>
+
+namespace boragestand::coordination
+{
+
+agreement_leader::agreement_leader(agreement_core& core, time_point now)
+    : core_(core)
+{
+    progress_.follow(core_.log().group(), core_.self(),
+                     core_.log().last().index + 1, now);
+    first_index_ = core_.log().last().index + 1;
+    append(protocol::entry_kind::empty, {}, 0, now);
+}
+
+void agreement_leader::tick(time_point now)
+{
+    if (now < next_heartbeat_)
+    {
+        return;
+    }
+    next_heartbeat_ = now + core_.settings().heartbeat_interval;
+    broadcast();
+    for (const auto& member : core_.log().group().members)
+    {
+        auto* progress = progress_.find(member.id);
+        if (progress != nullptr && progress->transfer)
+        {
+            send_chunk(member.id, *progress);
+        }
+    }
+}
+
+const char* agreement_leader::reason_to_step_down(time_point now) const
+{
+    const auto& group = core_.log().group();
+    const auto& settings = core_.settings();
+    if (!group.is_voter(core_.self()) &&
+        core_.log().group_index() <= core_.commit())
+    {
+        return "removed from the group";
+    }
+    if (handover_deadline_ && now >= *handover_deadline_)
+    {
+        return "hand-over timed out";
+    }
+    const auto contact = progress_.majority_contact(group, core_.self(), now);
+    if (!settings.faults.skip_check_quorum &&
+        now - contact >= settings.election_timeout)
+    {
+        return "no answers from a majority";
+    }
+    return nullptr;
+}
+
+// A chunk is large, so it is repeated only with the heartbeat.
+void agreement_leader::broadcast()
+{
+    for (const auto& member : core_.log().group().members)
+    {
+        auto* progress = progress_.find(member.id);
+        if (progress != nullptr && !progress->transfer)
+        {
+            replicate(member.id, *progress);
+        }
+    }
+}
+
+void agreement_leader::replicate(replica_id id, replica_progress& progress)
+{
+    const bool compacted = progress.next <= core_.log().snapshot()->last.index;
+    if (!progress.transfer && compacted)
+    {
+        progress.transfer.emplace(*core_.log().snapshot(),
+                                  core_.settings().chunk_size);
+    }
+    if (progress.transfer)
+    {
+        send_chunk(id, progress);
+        return;
+    }
+    send_entries(id, progress);
+}
+
+void agreement_leader::send_entries(replica_id id, replica_progress& progress)
+{
+    const auto& log = core_.log();
+    const auto previous = progress.next - 1;
+    protocol::append_request request;
+    request.previous = {previous, log.term_at(previous).value_or(0)};
+    request.commit = core_.commit();
+    request.round = round_;
+    request.entries =
+        log.slice(progress.next, core_.settings().max_append_entries,
+                  core_.settings().max_append_bytes);
+    // Later entries follow without waiting for the answer; a gap after a loss
+    // is refused and sent again.
+    progress.next += request.entries.size();
+    core_.send_to_member(id, std::move(request));
+}
+
+void agreement_leader::send_chunk(replica_id id, replica_progress& progress)
+{
+    core_.send_to_member(id, progress.transfer->chunk(round_));
+}
+
+void agreement_leader::take(replica_id from,
+                            const protocol::append_reply& reply, time_point now)
+{
+    auto* progress = progress_.find(from);
+    if (progress == nullptr)
+    {
+        return;
+    }
+    progress->last_contact = now;
+    progress->round = std::max(progress->round, reply.round);
+    if (progress->transfer)
+    {
+        answer_reads();
+        return;
+    }
+    const auto last = core_.log().last().index;
+    if (reply.accepted)
+    {
+        progress->match =
+            std::max(progress->match, std::min(reply.match, last));
+        progress->next = std::max(progress->next, progress->match + 1);
+    }
+    else
+    {
+        progress->next =
+            std::max(progress->match + 1, std::min(reply.hint + 1, last + 1));
+    }
+    if (!reply.accepted || progress->next <= last)
+    {
+        replicate(from, *progress);
+    }
+    update_commit(now);
+}
+
+void agreement_leader::take(replica_id from,
+                            const protocol::snapshot_reply& reply,
+                            time_point now)
+{
+    auto* progress = progress_.find(from);
+    if (progress == nullptr)
+    {
+        return;
+    }
+    progress->last_contact = now;
+    progress->round = std::max(progress->round, reply.round);
+    if (progress->transfer && progress->transfer->advance(reply))
+    {
+        if (progress->transfer->done())
+        {
+            progress->match = std::max(progress->match, reply.last.index);
+            progress->next = progress->match + 1;
+            progress->transfer.reset();
+        }
+        replicate(from, *progress);
+    }
+    update_commit(now);
+}
+
+void agreement_leader::append(protocol::entry_kind kind, std::string data,
+                              std::uint64_t token, time_point now)
+{
+    const auto index = core_.append_own(kind, std::move(data));
+    if (token != 0)
+    {
+        proposals_.push_back({token, index});
+    }
+    progress_.follow(core_.log().group(), core_.self(), index, now);
+    broadcast();
+    update_commit(now);
+}
+
+void agreement_leader::propose(const proposal& request, time_point now)
+{
+    const auto refuse = [&](error_kind kind, std::string message)
+    {
+        core_.emit(proposal_done{request.token, failure(kind, message)});
+    };
+    if (handover_deadline_)
+    {
+        return refuse(error_kind::not_leader, "leadership is handed over");
+    }
+    if (request.data.size() > protocol::max_command_size)
+    {
+        return refuse(error_kind::resource_exhausted,
+                      "command of " + std::to_string(request.data.size()) +
+                          " bytes is too long");
+    }
+    if (proposals_.size() >= core_.settings().max_open_proposals)
+    {
+        return refuse(error_kind::resource_exhausted,
+                      "too many commands wait for a majority");
+    }
+    append(protocol::entry_kind::command, request.data, request.token, now);
+}
+
+bool agreement_leader::change_is_open() const
+{
+    return core_.log().group_index() > core_.commit() ||
+           core_.commit() < first_index_;
+}
+
+result<protocol::replica_group>
+agreement_leader::group_after(const membership_change& change) const
+{
+    const auto& faults = core_.settings().faults;
+    if (handover_deadline_)
+    {
+        return failure(error_kind::not_leader, "leadership is handed over");
+    }
+    if (!faults.concurrent_changes && change_is_open())
+    {
+        return failure(error_kind::change_in_progress,
+                       "an earlier change or the start of this term is not "
+                       "committed yet");
+    }
+    return changed_group(core_.log().group(), change, core_.self(),
+                         core_.log().last().index + 1, faults);
+}
+
+void agreement_leader::propose(const membership_proposal& request,
+                               time_point now)
+{
+    const auto group = group_after(request.change);
+    if (!group)
+    {
+        core_.emit(proposal_done{request.token, tl::unexpected(group.error())});
+        return;
+    }
+    append(protocol::entry_kind::membership,
+           protocol::encode_replica_group(*group), request.token, now);
+}
+
+void agreement_leader::update_commit(time_point now)
+{
+    const auto index = progress_.majority_match(
+        core_.log().group(), core_.self(), core_.log().last().index);
+    // An entry of an earlier term can still be replaced although a majority
+    // holds it; it is committed by an entry of the own term after it.
+    const bool own_term = core_.log().term_at(index) == core_.term() ||
+                          core_.settings().faults.commit_earlier_terms;
+    if (index > core_.commit() && own_term)
+    {
+        core_.commit_to(index);
+        answer_proposals();
+        broadcast();
+    }
+    answer_reads();
+    promote_learner(now);
+    continue_handover();
+}
+
+void agreement_leader::answer_proposals()
+{
+    while (!proposals_.empty() && proposals_.front().index <= core_.commit())
+    {
+        const auto& done = proposals_.front();
+        core_.emit(proposal_done{done.token, done.index});
+        proposals_.pop_front();
+    }
+}
+
+void agreement_leader::read(const read_request& request)
+{
+    ++round_;
+    // Before its first own commit a leader does not know the commit index.
+    reads_.push_back(
+        {request.token, std::max(core_.commit(), first_index_), round_});
+    broadcast();
+    answer_reads();
+}
+
+void agreement_leader::answer_reads()
+{
+    const auto round =
+        progress_.majority_round(core_.log().group(), core_.self(), round_);
+    while (!reads_.empty() && reads_.front().round <= round &&
+           reads_.front().index <= core_.commit())
+    {
+        core_.emit(read_done{reads_.front().token, reads_.front().index});
+        reads_.pop_front();
+    }
+}
+
+void agreement_leader::promote_learner(time_point now)
+{
+    if (change_is_open() || handover_deadline_)
+    {
+        return;
+    }
+    const auto& group = core_.log().group();
+    const auto learner = learner_to_promote(group, core_.settings().faults,
+                                            [this](replica_id id)
+                                            { return progress_.match_of(id); });
+    if (learner.value != 0)
+    {
+        append(protocol::entry_kind::membership,
+               protocol::encode_replica_group(promoted_group(group, learner)),
+               0, now);
+    }
+}
+
+void agreement_leader::hand_over(time_point now)
+{
+    if (handover_deadline_)
+    {
+        return;
+    }
+    handover_deadline_ = now + core_.settings().election_timeout;
+    continue_handover();
+}
+
+void agreement_leader::continue_handover()
+{
+    if (!handover_deadline_ || successor_asked_)
+    {
+        return;
+    }
+    successor_ = progress_.most_advanced_voter(core_.log().group());
+    if (successor_.value == 0 ||
+        progress_.match_of(successor_) != core_.log().last().index)
+    {
+        return;
+    }
+    successor_asked_ = true;
+    core_.send_to_member(successor_, protocol::leadership_transfer{});
+}
+
+void agreement_leader::abandon()
+{
+    for (const auto& open : proposals_)
+    {
+        core_.emit(proposal_done{
+            open.token, failure(error_kind::timeout,
+                                "leadership was lost before a majority had "
+                                "confirmed the command")});
+    }
+    for (const auto& open : reads_)
+    {
+        core_.emit(read_done{open.token, failure(error_kind::not_leader,
+                                                 "leadership was lost")});
+    }
+    proposals_.clear();
+    reads_.clear();
+}
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/agreement_leader.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "coordination/agreement_core.hpp"
+#include "coordination/agreement_progress.hpp"
+
+#include <deque>
+
+namespace boragestand::coordination
+{
+
+/// The duties of a replica while it leads a term: replication, commits, reads,
+/// membership changes and handing leadership over. Exists for one term.
+class agreement_leader
+{
+public:
+    /// Begins the term with an empty entry.
+    agreement_leader(agreement_core& core, time_point now);
+
+    /// Sends heartbeats when they are due.
+    void tick(time_point now);
+
+    /// Why this leader has to step down now; null if it may go on.
+    const char* reason_to_step_down(time_point now) const;
+
+    /// Takes the answer of a follower.
+    void take(replica_id from, const protocol::append_reply& reply,
+              time_point now);
+
+    /// Takes the answer of a follower that gets a snapshot.
+    void take(replica_id from, const protocol::snapshot_reply& reply,
+              time_point now);
+
+    /// Appends a command.
+    void propose(const proposal& request, time_point now);
+
+    /// Appends a membership change.
+    void propose(const membership_proposal& request, time_point now);
+
+    /// Registers a read.
+    void read(const read_request& request);
+
+    /// Stops accepting proposals and lets the most advanced voter take over.
+    void hand_over(time_point now);
+
+    /// Answers everything that is open when leadership ends.
+    void abandon();
+
+private:
+    struct open_proposal
+    {
+        std::uint64_t token;
+        std::uint64_t index;
+    };
+    struct open_read
+    {
+        std::uint64_t token;
+        std::uint64_t index;
+        std::uint64_t round;
+    };
+
+    void broadcast();
+    void replicate(replica_id id, replica_progress& progress);
+    void send_entries(replica_id id, replica_progress& progress);
+    void send_chunk(replica_id id, replica_progress& progress);
+    void append(protocol::entry_kind kind, std::string data,
+                std::uint64_t token, time_point now);
+    void update_commit(time_point now);
+    void answer_proposals();
+    void answer_reads();
+    void promote_learner(time_point now);
+    void continue_handover();
+    bool change_is_open() const;
+    result<protocol::replica_group>
+    group_after(const membership_change& change) const;
+
+    agreement_core& core_;
+    agreement_progress progress_;
+    std::uint64_t first_index_{0}; ///< of this term
+    std::uint64_t round_{0};
+    time_point next_heartbeat_{};
+    std::deque<open_proposal> proposals_;
+    std::deque<open_read> reads_;
+    replica_id successor_;
+    bool successor_asked_{false};
+    std::optional<time_point> handover_deadline_;
+};
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/agreement_log.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "protocol/protocol.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace boragestand::coordination
+{
+
+/// The log of one replica in memory: the newest snapshot and all entries after
+/// it, with the group that each membership entry set.
+class agreement_log
+{
+public:
+    /// The entries must follow the snapshot without a gap.
+    agreement_log(std::optional<protocol::agreement_snapshot> snapshot,
+                  const std::vector<protocol::log_entry>& entries);
+
+    /// Position of the last entry, or of the snapshot if there is none.
+    protocol::log_position last() const;
+
+    /// The newest snapshot; its index is 0 if nothing was compacted yet.
+    const std::shared_ptr<const protocol::agreement_snapshot>& snapshot() const
+    {
+        return snapshot_;
+    }
+
+    /// Term of the entry at an index; none if it is compacted or not there.
+    std::optional<std::uint64_t> term_at(std::uint64_t index) const;
+
+    /// The entry at an index, which must be after the snapshot and there.
+    const protocol::log_entry& at(std::uint64_t index) const;
+
+    /// Entries from an index on, at most so many, of at most so many bytes in
+    /// all but never less than one.
+    std::vector<protocol::log_entry> slice(std::uint64_t first,
+                                           std::size_t max_entries,
+                                           std::size_t max_bytes) const;
+
+    /// Appends entries and drops those from the first one's index on.
+    void append(const std::vector<protocol::log_entry>& entries);
+
+    /// Makes a snapshot of the entries up to an index and drops them.
+    void compact(std::uint64_t index, std::string data);
+
+    /// Replaces everything by a snapshot.
+    void install(protocol::agreement_snapshot snapshot);
+
+    /// The group that the newest membership entry set, committed or not.
+    const protocol::replica_group& group() const;
+
+    /// The group after the entry at an index.
+    const protocol::replica_group& group_at(std::uint64_t index) const;
+
+    /// Index of the newest membership entry, 0 if the group is the snapshot's.
+    std::uint64_t group_index() const;
+
+private:
+    struct group_change
+    {
+        std::uint64_t index;
+        protocol::replica_group group;
+    };
+
+    std::shared_ptr<const protocol::agreement_snapshot> snapshot_;
+    std::deque<protocol::log_entry> entries_;
+    std::vector<group_change> changes_;
+};
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/agreement_node.cpp
@@ -0,0 +1,343 @@
+#include "coordination/agreement_node.hpp"
+
+namespace boragestand::coordination
+{
+
+std::string_view to_text(agreement_role role)
+{
+    switch (role)
+    {
+    case agreement_role::follower:
+        return "follower";
+    case agreement_role::pre_candidate:
+        return "pre_candidate";
+    case agreement_role::candidate:
+        return "candidate";
+    case agreement_role::leader:
+        return "leader";
+    }
+    return "unknown";
+}
+
+agreement_node::agreement_node(agreement_start start,
+                               const agreement_settings& settings)
+    : core_(start, settings), election_(core_, start.seed), receiver_(core_)
+{
+}
+
+agreement_effects agreement_node::step(const agreement_event& event)
+{
+    if (!started_)
+    {
+        started_ = true;
+        election_.restart_timeout(event.now);
+    }
+    // First of all, so that a leader that was frozen for long does not act on
+    // requests and answers that have queued up meanwhile.
+    check_quorum(event.now);
+    std::visit([&](const auto& input) { handle(input, event.now); },
+               event.input);
+    check_quorum(event.now);
+    return core_.take_effects();
+}
+
+void agreement_node::check_quorum(time_point now)
+{
+    if (!leader_)
+    {
+        return;
+    }
+    if (const char* reason = leader_->reason_to_step_down(now))
+    {
+        election_.restart_timeout(now);
+        follow({}, reason);
+    }
+}
+
+void agreement_node::handle(const clock_tick&, time_point now)
+{
+    if (leader_)
+    {
+        election_.restart_timeout(now);
+        leader_->tick(now);
+        return;
+    }
+    if (election_.is_due(now))
+    {
+        start_election(now);
+    }
+}
+
+void agreement_node::handle(const proposal& request, time_point now)
+{
+    if (!leader_)
+    {
+        core_.emit(proposal_done{
+            request.token, failure(error_kind::not_leader, "not the leader")});
+        return;
+    }
+    leader_->propose(request, now);
+}
+
+void agreement_node::handle(const membership_proposal& request, time_point now)
+{
+    if (!leader_)
+    {
+        core_.emit(proposal_done{
+            request.token, failure(error_kind::not_leader, "not the leader")});
+        return;
+    }
+    leader_->propose(request, now);
+}
+
+void agreement_node::handle(const read_request& request, time_point)
+{
+    if (!leader_)
+    {
+        core_.emit(read_done{
+            request.token, failure(error_kind::not_leader, "not the leader")});
+        return;
+    }
+    leader_->read(request);
+}
+
+void agreement_node::handle(const snapshot_taken& taken, time_point)
+{
+    core_.compact(taken);
+}
+
+void agreement_node::handle(const hand_over_leadership&, time_point now)
+{
+    if (leader_)
+    {
+        leader_->hand_over(now);
+    }
+}
+
+void agreement_node::handle(const message_received& input, time_point now)
+{
+    const auto& envelope = input.envelope;
+    // A message to another identity was meant for a disk that is lost.
+    if (envelope.to != core_.self() || group().is_retired(envelope.from))
+    {
+        return;
+    }
+    if (envelope.term < core_.term())
+    {
+        answer_earlier_term(envelope);
+        return;
+    }
+    if (envelope.term > core_.term() && !adopt_term(envelope, now))
+    {
+        return;
+    }
+    std::visit([&](const auto& message) { receive(envelope, message, now); },
+               envelope.message);
+}
+
+// An old leader learns the newer term from the refusal and steps down; a
+// candidate that lost touch learns it and asks again.
+void agreement_node::answer_earlier_term(
+    const protocol::agreement_envelope& envelope)
+{
+    const auto* vote = std::get_if<protocol::vote_request>(&envelope.message);
+    if (vote != nullptr && vote->pre_vote)
+    {
+        core_.send(envelope.from, envelope.reply_to,
+                   protocol::vote_reply{true, false}, core_.term());
+    }
+    if (std::holds_alternative<protocol::append_request>(envelope.message) ||
+        std::holds_alternative<protocol::snapshot_chunk>(envelope.message))
+    {
+        core_.send(envelope.from, envelope.reply_to, protocol::append_reply{},
+                   core_.term());
+    }
+}
+
+// Whether to go on with a message of a later term, which is adopted unless the
+// message is about a possible election only.
+bool agreement_node::adopt_term(const protocol::agreement_envelope& envelope,
+                                time_point now)
+{
+    const auto* request =
+        std::get_if<protocol::vote_request>(&envelope.message);
+    if (request != nullptr && !request->transfer && hears_leader(now))
+    {
+        return false;
+    }
+    if (request != nullptr && request->pre_vote)
+    {
+        return true;
+    }
+    const auto* reply = std::get_if<protocol::vote_reply>(&envelope.message);
+    if (reply != nullptr && reply->pre_vote && reply->granted)
+    {
+        return true;
+    }
+    core_.change_term(envelope.term, {});
+    follow({}, "later term seen");
+    return true;
+}
+
+// A leader counts as heard by itself: check_quorum() ends its leadership when
+// it has lost touch.
+bool agreement_node::hears_leader(time_point now) const
+{
+    if (leader_)
+    {
+        return true;
+    }
+    return leader_id_.value != 0 && leader_heard_ &&
+           now - *leader_heard_ < core_.settings().election_timeout;
+}
+
+void agreement_node::receive(const protocol::agreement_envelope& envelope,
+                             const protocol::vote_request& request,
+                             time_point now)
+{
+    if (election_.answer(envelope, request))
+    {
+        election_.restart_timeout(now);
+    }
+}
+
+void agreement_node::receive(const protocol::agreement_envelope& envelope,
+                             const protocol::vote_reply& reply, time_point now)
+{
+    const bool asked = role_ == (reply.pre_vote ? agreement_role::pre_candidate
+                                                : agreement_role::candidate);
+    const auto expected_term = core_.term() + (reply.pre_vote ? 1 : 0);
+    if (!asked || (reply.granted && envelope.term != expected_term))
+    {
+        return;
+    }
+    const auto outcome = election_.count(envelope.from, reply);
+    if (outcome == agreement_election::outcome::lost)
+    {
+        follow({}, "refused by a majority");
+        return;
+    }
+    if (outcome != agreement_election::outcome::won)
+    {
+        return;
+    }
+    if (reply.pre_vote)
+    {
+        start_vote(false, now);
+        return;
+    }
+    lead(now);
+}
+
+void agreement_node::receive(const protocol::agreement_envelope& envelope,
+                             const protocol::append_request& request,
+                             time_point now)
+{
+    hear_leader(envelope.from, now);
+    receiver_.take(envelope, request);
+}
+
+void agreement_node::receive(const protocol::agreement_envelope& envelope,
+                             const protocol::snapshot_chunk& chunk,
+                             time_point now)
+{
+    hear_leader(envelope.from, now);
+    receiver_.take(envelope, chunk);
+}
+
+void agreement_node::receive(const protocol::agreement_envelope& envelope,
+                             const protocol::append_reply& reply,
+                             time_point now)
+{
+    if (leader_)
+    {
+        leader_->take(envelope.from, reply, now);
+    }
+}
+
+void agreement_node::receive(const protocol::agreement_envelope& envelope,
+                             const protocol::snapshot_reply& reply,
+                             time_point now)
+{
+    if (leader_)
+    {
+        leader_->take(envelope.from, reply, now);
+    }
+}
+
+void agreement_node::receive(const protocol::agreement_envelope&,
+                             const protocol::leadership_transfer&,
+                             time_point now)
+{
+    if (!leader_ && core_.is_voter())
+    {
+        start_vote(true, now);
+    }
+}
+
+void agreement_node::start_election(time_point now)
+{
+    election_.restart_timeout(now);
+    if (!core_.is_voter())
+    {
+        return;
+    }
+    if (core_.settings().faults.skip_pre_vote)
+    {
+        start_vote(false, now);
+        return;
+    }
+    change_role(agreement_role::pre_candidate, {}, "no leader heard");
+    if (election_.start_pre_vote() == agreement_election::outcome::won)
+    {
+        start_vote(false, now);
+    }
+}
+
+void agreement_node::start_vote(bool transfer, time_point now)
+{
+    election_.restart_timeout(now);
+    const auto outcome = election_.start_vote(transfer);
+    change_role(agreement_role::candidate, {},
+                transfer ? "leadership handed over" : "majority would vote");
+    if (outcome == agreement_election::outcome::won)
+    {
+        lead(now);
+    }
+}
+
+void agreement_node::hear_leader(replica_id leader, time_point now)
+{
+    leader_heard_ = now;
+    election_.restart_timeout(now);
+    if (role_ != agreement_role::follower || leader_id_ != leader)
+    {
+        follow(leader, "leader heard");
+    }
+}
+
+void agreement_node::follow(replica_id leader, const char* reason)
+{
+    if (leader_)
+    {
+        leader_->abandon();
+        leader_.reset();
+    }
+    change_role(agreement_role::follower, leader, reason);
+}
+
+void agreement_node::lead(time_point now)
+{
+    change_role(agreement_role::leader, core_.self(), "elected");
+    leader_.emplace(core_, now);
+}
+
+void agreement_node::change_role(agreement_role role, replica_id leader,
+                                 const char* reason)
+{
+    role_ = role;
+    leader_id_ = leader;
+    core_.emit(role_changed{role, core_.term(), leader, reason});
+}
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/agreement_node.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "coordination/agreement_core.hpp"
+#include "coordination/agreement_election.hpp"
+#include "coordination/agreement_leader.hpp"
+#include "coordination/agreement_receiver.hpp"
+
+namespace boragestand::coordination
+{
+
+/// One replica of the replicated log, in the manner of Raft with pre-vote,
+/// check-quorum, read-index reads, learners and single membership changes.
+/// Pure: time, messages and the answers of the state machine come in as events,
+/// everything to be done goes out as effects in order.
+class agreement_node
+{
+public:
+    agreement_node(agreement_start start, const agreement_settings& settings);
+
+    agreement_node(const agreement_node&) = delete;
+    agreement_node& operator=(const agreement_node&) = delete;
+
+    /// Processes one event.
+    agreement_effects step(const agreement_event& event);
+
+    replica_id self() const { return core_.self(); }
+    agreement_role role() const { return role_; }
+    std::uint64_t term() const { return core_.term(); }
+
+    /// The leader of the current term; 0 if not known.
+    replica_id leader() const { return leader_id_; }
+
+    /// Index of the last committed entry; it has been given to apply_entry or
+    /// restore_snapshot.
+    std::uint64_t commit_index() const { return core_.commit(); }
+
+    /// Position of the last entry.
+    protocol::log_position last() const { return core_.log().last(); }
+
+    /// Index that the newest snapshot covers.
+    std::uint64_t snapshot_index() const
+    {
+        return core_.log().snapshot()->last.index;
+    }
+
+    /// The newest group in the log, committed or not.
+    const protocol::replica_group& group() const { return core_.log().group(); }
+
+    /// The group after the last committed entry.
+    const protocol::replica_group& committed_group() const
+    {
+        return core_.log().group_at(core_.commit());
+    }
+
+private:
+    void handle(const clock_tick& tick, time_point now);
+    void handle(const message_received& input, time_point now);
+    void handle(const proposal& request, time_point now);
+    void handle(const membership_proposal& request, time_point now);
+    void handle(const read_request& request, time_point now);
+    void handle(const snapshot_taken& taken, time_point now);
+    void handle(const hand_over_leadership& request, time_point now);
+
+    void receive(const protocol::agreement_envelope& envelope,
+                 const protocol::vote_request& request, time_point now);
+    void receive(const protocol::agreement_envelope& envelope,
+                 const protocol::vote_reply& reply, time_point now);
+    void receive(const protocol::agreement_envelope& envelope,
+                 const protocol::append_request& request, time_point now);
+    void receive(const protocol::agreement_envelope& envelope,
+                 const protocol::append_reply& reply, time_point now);
+    void receive(const protocol::agreement_envelope& envelope,
+                 const protocol::snapshot_chunk& chunk, time_point now);
+    void receive(const protocol::agreement_envelope& envelope,
+                 const protocol::snapshot_reply& reply, time_point now);
+    void receive(const protocol::agreement_envelope& envelope,
+                 const protocol::leadership_transfer& transfer, time_point now);
+
+    bool adopt_term(const protocol::agreement_envelope& envelope,
+                    time_point now);
+    void answer_earlier_term(const protocol::agreement_envelope& envelope);
+    bool hears_leader(time_point now) const;
+    void check_quorum(time_point now);
+    void start_election(time_point now);
+    void start_vote(bool transfer, time_point now);
+    void follow(replica_id leader, const char* reason);
+    void hear_leader(replica_id leader, time_point now);
+    void lead(time_point now);
+    void change_role(agreement_role role, replica_id leader,
+                     const char* reason);
+
+    agreement_core core_;
+    agreement_election election_;
+    agreement_receiver receiver_;
+    std::optional<agreement_leader> leader_;
+    agreement_role role_{agreement_role::follower};
+    replica_id leader_id_;
+    std::optional<time_point> leader_heard_;
+    bool started_{false};
+};
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/agreement_receiver.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "coordination/agreement_core.hpp"
+#include "coordination/agreement_snapshots.hpp"
+
+namespace boragestand::coordination
+{
+
+/// Takes entries and snapshots from the leader of the current term.
+class agreement_receiver
+{
+public:
+    explicit agreement_receiver(agreement_core& core);
+
+    /// Stores entries and answers.
+    void take(const protocol::agreement_envelope& envelope,
+              const protocol::append_request& request);
+
+    /// Stores a part of a snapshot and answers.
+    void take(const protocol::agreement_envelope& envelope,
+              const protocol::snapshot_chunk& chunk);
+
+private:
+    protocol::append_reply stored(const protocol::append_request& request);
+    std::uint64_t hint_for(std::uint64_t previous) const;
+    void install(protocol::agreement_snapshot snapshot);
+
+    agreement_core& core_;
+    snapshot_receiver snapshot_;
+};
+
+} // namespace boragestand::coordination
--- a/src/coordination/coordination.hpp
+++ b/src/coordination/coordination.hpp
@@ -4,6 +4,8 @@
 /// membership, ownership, placement and admission. All of them are pure: events
 /// with a time go in, effects come out.
 
+#include "coordination/agreement_events.hpp"
+#include "coordination/agreement_node.hpp"
 #include "coordination/flow_events.hpp"
 #include "coordination/flow_router.hpp"
 #include "coordination/traffic_policy.hpp"
--- a/src/protocol/agreement_messages.cpp
+++ b/src/protocol/agreement_messages.cpp
@@ -329,7 +329,8 @@
 {
     msgpack::sbuffer buffer;
     packer_type out(buffer);
-    out.pack_array(5).pack(envelope.from.value).pack(envelope.to.value);
+    out.pack_array(7).pack(envelope.from.value).pack(envelope.to.value);
+    out.pack(envelope.reply_to.address).pack(envelope.reply_to.port);
     out.pack(envelope.term);
     out.pack(static_cast<std::uint8_t>(envelope.message.index()));
     std::visit([&out](const auto& message) { pack(out, message); },
@@ -342,10 +343,13 @@
     return decode_with(bytes, max_agreement_message_size,
                        [](const msgpack::object& object)
                        {
-                           field_reader in(object, 5);
+                           field_reader in(object, 7);
                            agreement_envelope envelope;
                            envelope.from.value = in.number<std::uint64_t>();
                            envelope.to.value = in.number<std::uint64_t>();
+                           auto& address = envelope.reply_to;
+                           address.address = in.number<std::uint32_t>();
+                           address.port = in.number<std::uint16_t>();
                            envelope.term = in.number<std::uint64_t>();
                            const auto kind = in.number<std::uint8_t>();
                            envelope.message = read_message(kind, in.next());
--- a/src/protocol/agreement_messages.hpp
+++ b/src/protocol/agreement_messages.hpp
@@ -195,6 +195,8 @@
 {
     replica_id from;
     replica_id to;
+    /// HTTP/2 address of the sender: a new learner does not know the group yet.
+    transport::endpoint reply_to;
     std::uint64_t term{0};
     agreement_message message;
 
--- a/tests/state/durable_storage_test.cpp
+++ b/tests/state/durable_storage_test.cpp
@@ -66,8 +66,7 @@
 class workload
 {
 public:
-    explicit workload(crash_disk& files)
-        : files_(files), hard_(files), snapshots_(files)
+    explicit workload(crash_disk& files) : hard_(files), snapshots_(files)
     {
         must(hard_.create(replica_id{7}));
         log_ = durable_log::open(files, {}, recovery_, segment_size).value();
@@ -128,7 +127,6 @@
         done = under_way;
     }
 
-    crash_disk& files_;
     hard_state_store hard_;
     snapshot_store snapshots_;
     log_recovery recovery_;
