Add replicated control state, release notes and update codec

Cause: control instances need one deterministic state machine that the log drives, and entry instances need deltas by revision. Release notes are read by the new document library, which reports all faults with line and column, and applied whole. configuration gains last_service so that no service identity is reused. Ruled out: an identity table without a floor, since a resend after eviction would record an agreement twice.

--- /dev/null
+++ b/src/document/fault.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace boragestand::document
+{
+
+/// A place in a document; lines and columns start at 1, 0 means unknown.
+struct position
+{
+    std::uint32_t line{0};
+    std::uint32_t column{0};
+
+    auto operator<=>(const position&) const = default;
+};
+
+/// Something wrong in a document, with what was expected.
+struct fault
+{
+    position where;
+    std::string message;
+
+    auto operator<=>(const fault&) const = default;
+};
+
+/// "LINE:COLUMN: MESSAGE".
+std::string to_string(const fault& value);
+
+/// A value and where it was read. Compares by value only, so that documents
+/// that differ in layout are equal.
+template <typename Value>
+struct located
+{
+    Value value{};
+    position where;
+
+    bool operator==(const located& other) const { return value == other.value; }
+};
+
+} // namespace boragestand::document
--- /dev/null
+++ b/src/document/mapping_reader.hpp
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "document/fault_list.hpp"
+
+#include <yaml-cpp/yaml.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace boragestand::document
+{
+
+/// Whether a key must be there.
+enum class presence
+{
+    required,
+    optional
+};
+
+/// Numbers that a key accepts, both ends included.
+struct number_range
+{
+    std::uint64_t least{0};
+    std::uint64_t most{0};
+};
+
+/// Checks the text of a value; returns what was expected if it is wrong.
+using text_check = std::optional<std::string> (*)(std::string_view text);
+
+/// Accepts 1 to 63 letters, digits, '.', '_' and '-', the first a letter or
+/// digit.
+std::optional<std::string> check_name(std::string_view text);
+
+/// Accepts any text.
+std::optional<std::string> check_any_text(std::string_view text);
+
+/// Reads a YAML mapping key by key. Each read either stores a value and
+/// returns true, or leaves the target as it was, adds a fault where something
+/// is wrong, and returns false. finish() reports keys that no read asked for.
+class mapping_reader
+{
+public:
+    /// path names the mapping in messages, such as "limits"; empty for the
+    /// whole document.
+    mapping_reader(const YAML::Node& node, std::string path,
+                   fault_list& faults);
+
+    /// Reads a text.
+    bool read_text(std::string_view key, presence wanted, text_check check,
+                   std::string& target);
+    bool read_text(std::string_view key, presence wanted, text_check check,
+                   located<std::string>& target);
+
+    /// Reads a whole decimal number.
+    bool read_number(std::string_view key, presence wanted, number_range range,
+                     std::uint64_t& target);
+
+    /// Reads a number into a smaller integer type or an identity's value.
+    template <typename Integer>
+    bool read_integer(std::string_view key, presence wanted, number_range range,
+                      Integer& target)
+    {
+        std::uint64_t wide = 0;
+        if (!read_number(key, wanted, range, wide))
+        {
+            return false;
+        }
+        target = static_cast<Integer>(wide);
+        return true;
+    }
+
+    /// Reads true or false.
+    bool read_flag(std::string_view key, presence wanted, bool& target);
+
+    /// Reads one of the given names; the target is its index.
+    bool read_choice(std::string_view key, presence wanted,
+                     std::span<const std::string_view> names,
+                     std::size_t& target);
+
+    /// Calls back for each item of a list with its path.
+    bool read_list(std::string_view key, presence wanted,
+                   const std::function<void(const YAML::Node&,
+                                            const std::string& path)>& item);
+
+    /// A reader of a mapping below this one.
+    std::optional<mapping_reader> read_mapping(std::string_view key,
+                                               presence wanted);
+
+    /// Whether the key is there, whatever its value.
+    bool has(std::string_view key) const;
+
+    /// Where the value of a key starts, or the mapping if there is none.
+    position where(std::string_view key) const;
+
+    /// Where the mapping starts.
+    position start() const;
+
+    /// Adds a fault at the value of a key, naming its path.
+    void add_fault(std::string_view key, const std::string& message);
+
+    /// Adds a fault for each key that no read asked for.
+    void finish();
+
+private:
+    const YAML::Node* find(std::string_view key) const;
+    const YAML::Node* expect(std::string_view key, presence wanted);
+    const YAML::Node* expect_scalar(std::string_view key, presence wanted,
+                                    std::string_view expected);
+    void add_wrong_value(std::string_view key, const YAML::Node& node,
+                         std::string_view expected);
+    std::string path_of(std::string_view key) const;
+    void add_entry(const YAML::Node& key, const YAML::Node& value);
+
+    struct entry
+    {
+        std::string key;
+        position where;
+        YAML::Node value;
+    };
+
+    position start_;
+    std::string path_;
+    fault_list* faults_;
+    std::vector<entry> entries_;
+    std::vector<std::string> known_keys_;
+    bool is_mapping_{false};
+};
+
+} // namespace boragestand::document
--- a/src/state/configuration.hpp
+++ b/src/state/configuration.hpp
@@ -82,7 +82,7 @@
 
 /// The replicated configuration at one revision, an immutable value that
 /// instances share by pointer. Lists are sorted by their identity or name,
-/// rules by their order of evaluation.
+/// rules by service and then by their order of evaluation.
 struct configuration
 {
     std::uint64_t revision{0};
@@ -91,6 +91,8 @@
     std::vector<rule> rules;
     std::vector<upstream_override> overrides;
     std::vector<refusal_agreement> agreements;
+    /// Highest service identity ever given, so that none is given twice.
+    std::uint32_t last_service{0};
 
     auto operator<=>(const configuration&) const = default;
 
--- /dev/null
+++ b/src/state/request_table.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "state/control_command.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace boragestand::state
+{
+
+/// The last command of a client and its outcome.
+struct request_record
+{
+    std::uint64_t sequence{0};
+    std::uint64_t action_hash{0}; ///< tells a resend from a reused sequence
+    command_outcome outcome;
+
+    auto operator<=>(const request_record&) const = default;
+};
+
+/// Remembers the last command of a bounded number of clients. The client with
+/// the lowest sequence is dropped first. Because commands of unknown clients
+/// with a sequence up to the highest dropped one are turned away, a command
+/// never runs twice, even after its record was dropped.
+class request_table
+{
+public:
+    explicit request_table(std::size_t capacity) : capacity_(capacity) {}
+
+    /// What to answer without running the command, or nothing if it is new.
+    std::optional<command_outcome> find(const request_identity& request,
+                                        std::uint64_t action_hash) const;
+
+    /// The record of a client, or null.
+    const request_record* find(const std::string& client) const;
+
+    /// Keeps the outcome of a command that has run.
+    void remember(const request_identity& request, std::uint64_t action_hash,
+                  command_outcome outcome);
+
+    /// Highest sequence of a dropped record.
+    std::uint64_t floor() const { return floor_; }
+
+    /// All records by client, for snapshots.
+    const std::map<std::string, request_record>& records() const
+    {
+        return records_;
+    }
+
+    /// A table with the records of a snapshot.
+    static request_table restore(std::size_t capacity, std::uint64_t floor,
+                                 std::map<std::string, request_record> records);
+
+private:
+    void drop_oldest();
+
+    std::size_t capacity_;
+    std::uint64_t floor_{0};
+    std::map<std::string, request_record> records_;
+    std::set<std::pair<std::uint64_t, std::string>> by_sequence_;
+};
+
+} // namespace boragestand::state
--- a/src/state/state.hpp
+++ b/src/state/state.hpp
@@ -4,3 +4,8 @@
 /// tables and files that hold the state of a process.
 
 #include "state/configuration.hpp"
+#include "state/configuration_update.hpp"
+#include "state/control_command.hpp"
+#include "state/control_state.hpp"
+#include "state/note_application.hpp"
+#include "state/release_note.hpp"
