--- a/src/coordination/traffic_policy.hpp
+++ b/src/coordination/traffic_policy.hpp
@@ -84,13 +84,17 @@
     active_set(service_id service) const;
 
     /// Where packets of existing flows of this upstream go, or empty if it is
-    /// unknown or its lease has ended.
+    /// unknown. The last address stays known for a while after the lease has
+    /// ended, since the upstream may be alive behind a partition.
     std::optional<transport::endpoint> address_of(service_id service,
                                                   upstream_id upstream) const;
 
     /// All known records that are valid now, for gossip and for status.
     std::vector<protocol::upstream_record> records(time_point now) const;
 
+    /// Takes the decisions noted since the last call, oldest first.
+    std::vector<traffic_note> take_notes();
+
 private:
     struct implementation;
     std::unique_ptr<implementation> implementation_;
--- a/src/coordination/traffic_types.hpp
+++ b/src/coordination/traffic_types.hpp
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <string>
 #include <string_view>
 #include <variant>
 
@@ -179,6 +180,8 @@
     std::variant<flow_adopted, flow_established, flow_became_long,
                  flow_progressed, syn_repeated, flow_ended>
         what;
+    /// The flow, as in its flow_arrival.
+    std::uint64_t flow_hash{0};
 
     auto operator<=>(const flow_evidence&) const = default;
 };
@@ -207,4 +210,15 @@
     auto operator<=>(const director_request&) const = default;
 };
 
+/// A decision of placement or admission that is worth a log line.
+struct traffic_note
+{
+    std::string event; ///< such as upstream_ejected
+    service_id service;
+    upstream_id upstream;
+    std::string reason;
+
+    auto operator<=>(const traffic_note&) const = default;
+};
+
 } // namespace boragestand::coordination
