Add checked settings, common options and event log

Cause: the programs need settings that are checked whole, one command line and one log format. Change: the settings library reads the files of both programs and names file, line, column and allowed values of every fault at once; start_entry and start_control handle the common options and the exit statuses of the error table; event_log writes key=value lines through log4cplus, compares the level before a line is built, and limits repeated causes. Ruled out: the level check of log4cplus, since a line would be built first. Conclusion: settings_test passes.

--- a/src/document/fault.hpp
+++ b/src/document/fault.hpp
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <tl/expected.hpp>
+
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace boragestand::document
 {
@@ -25,6 +28,10 @@
     auto operator<=>(const fault&) const = default;
 };
 
+/// A value, or all faults that prevented it.
+template <typename Value>
+using checked = tl::expected<Value, std::vector<fault>>;
+
 /// "LINE:COLUMN: MESSAGE".
 std::string to_string(const fault& value);
 
--- /dev/null
+++ b/src/settings/command_line.cpp
@@ -0,0 +1,174 @@
+#include "settings/command_line.hpp"
+
+#include "settings/settings_reader.hpp"
+#include "settings/text_file.hpp"
+
+#include <boost/program_options.hpp>
+
+#include <ostream>
+
+namespace boragestand::settings
+{
+
+namespace
+{
+
+namespace options = boost::program_options;
+
+constexpr int success = 0;
+
+int status_of(error_kind kind)
+{
+    return answer_for(kind).exit_status;
+}
+
+options::options_description described_options()
+{
+    options::options_description described("Options");
+    described.add_options()("settings", options::value<std::string>(),
+                            "settings file (YAML)")(
+        "check-settings", "check the settings file and exit")(
+        "print-settings",
+        "print the settings with defaults filled in and exit")(
+        "version", "print the version and exit")("help",
+                                                 "print this help and exit");
+    return described;
+}
+
+void print_help(const program_description& program, std::ostream& out)
+{
+    out << "Usage: " << program.name << " --settings FILE\n\n"
+        << program.summary << "\n\n"
+        << described_options() << '\n';
+    print_exit_statuses(out);
+}
+
+struct command_line
+{
+    options::variables_map values;
+    int status{success};
+};
+
+command_line parse(const program_description& program, int argc,
+                   const char* const* argv, std::ostream& err)
+{
+    command_line line;
+    try
+    {
+        options::store(options::command_line_parser(argc, argv)
+                           .options(described_options())
+                           .positional({})
+                           .run(),
+                       line.values);
+    }
+    catch (const options::error& fault)
+    {
+        err << program.name << ": " << fault.what() << "; see --help\n";
+        line.status = status_of(error_kind::invalid_argument);
+    }
+    return line;
+}
+
+template <typename Settings>
+start<Settings>
+read_settings(const std::string& file,
+              document::checked<Settings> (*read)(std::string_view),
+              std::ostream& err)
+{
+    const auto text = read_text_file(file, max_settings_size);
+    if (!text)
+    {
+        err << text.error().message << '\n';
+        return status_of(error_kind::invalid_settings);
+    }
+    auto settings = read(*text);
+    if (settings)
+    {
+        return *std::move(settings);
+    }
+    for (const document::fault& fault : settings.error())
+    {
+        err << file << ':' << to_string(fault) << '\n';
+    }
+    return status_of(error_kind::invalid_settings);
+}
+
+template <typename Settings>
+start<Settings>
+start_program(const program_description& program, int argc,
+              const char* const* argv, std::ostream& out, std::ostream& err,
+              document::checked<Settings> (*read)(std::string_view))
+{
+    const command_line line = parse(program, argc, argv, err);
+    if (line.status != success)
+    {
+        return line.status;
+    }
+    if (line.values.contains("help"))
+    {
+        print_help(program, out);
+        return success;
+    }
+    if (line.values.contains("version"))
+    {
+        out << program.name << ' ' << version() << '\n';
+        return success;
+    }
+    if (!line.values.contains("settings"))
+    {
+        err << program.name << ": --settings FILE is required; see --help\n";
+        return status_of(error_kind::invalid_argument);
+    }
+    start<Settings> started =
+        read_settings(line.values["settings"].as<std::string>(), read, err);
+    if (const auto* settings = std::get_if<Settings>(&started))
+    {
+        if (line.values.contains("print-settings"))
+        {
+            out << to_yaml(*settings);
+            return success;
+        }
+        if (line.values.contains("check-settings"))
+        {
+            return success;
+        }
+    }
+    return started;
+}
+
+} // namespace
+
+std::string_view version()
+{
+    return BORAGESTAND_VERSION;
+}
+
+void print_exit_statuses(std::ostream& out)
+{
+    out << "Exit status:\n  0  success\n";
+    for (int value = 0; value <= static_cast<int>(error_kind::internal);
+         ++value)
+    {
+        const error_answer& answer = answer_for(static_cast<error_kind>(value));
+        out << "  " << answer.exit_status << "  " << answer.name << ": "
+            << answer.text << '\n';
+    }
+}
+
+start<entry_settings> start_entry(const program_description& program, int argc,
+                                  const char* const* argv, std::ostream& out,
+                                  std::ostream& err)
+{
+    return start_program<entry_settings>(program, argc, argv, out, err,
+                                         &read_entry_settings);
+}
+
+start<control_settings> start_control(const program_description& program,
+                                      int argc, const char* const* argv,
+                                      std::ostream& out, std::ostream& err)
+{
+    return start_program<control_settings>(program, argc, argv, out, err,
+                                           &read_control_settings);
+}
+
+} // namespace boragestand::settings
--- /dev/null
+++ b/src/settings/event_log.cpp
@@ -0,0 +1,123 @@
+#include "settings/event_log.hpp"
+
+#include "settings/key_value_layout.hpp"
+
+#include <log4cplus/config.hxx>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/fileappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/logger.h>
+
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+
+namespace boragestand::settings
+{
+
+namespace
+{
+
+log4cplus::LogLevel library_level(log_level level)
+{
+    switch (level)
+    {
+    case log_level::error:
+        return log4cplus::ERROR_LOG_LEVEL;
+    case log_level::warn:
+        return log4cplus::WARN_LOG_LEVEL;
+    case log_level::info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case log_level::debug:
+        break;
+    }
+    return log4cplus::DEBUG_LOG_LEVEL;
+}
+
+/// "instance=NAME", quoted like any other value.
+std::string instance_pair(std::string_view instance)
+{
+    const std::string line = log_line("").with("instance", instance).text();
+    return line.substr(line.find(' ') + 1);
+}
+
+log4cplus::SharedAppenderPtr make_appender(const std::string& file)
+{
+    if (file.empty())
+    {
+        return log4cplus::SharedAppenderPtr(
+            new log4cplus::ConsoleAppender(true, true));
+    }
+    return log4cplus::SharedAppenderPtr(
+        new log4cplus::FileAppender(file, std::ios_base::app, true));
+}
+
+} // namespace
+
+struct event_log::implementation
+{
+    log4cplus::Initializer library;
+    log4cplus::Logger logger{log4cplus::Logger::getRoot()};
+};
+
+result<std::unique_ptr<event_log>> event_log::open(const log_settings& settings,
+                                                   std::string_view instance)
+{
+    if (!settings.file.empty() &&
+        !std::ofstream(settings.file, std::ios_base::app))
+    {
+        return failure(error_kind::invalid_settings,
+                       "log file " + settings.file +
+                           " cannot be written: " + std::strerror(errno));
+    }
+    auto parts = std::make_unique<implementation>();
+    // The library starts four workers for asynchronous appenders, which are
+    // not used here; it keeps at least one.
+    log4cplus::setThreadPoolSize(1);
+    const log4cplus::SharedAppenderPtr appender = make_appender(settings.file);
+    appender->setLayout(
+        std::make_unique<key_value_layout>(instance_pair(instance)));
+    parts->logger.removeAllAppenders();
+    parts->logger.addAppender(appender);
+    // event_log compares levels itself, before a line is built.
+    parts->logger.setLogLevel(log4cplus::ALL_LOG_LEVEL);
+    return std::unique_ptr<event_log>(
+        new event_log(std::move(parts), settings.level));
+}
+
+event_log::event_log(std::unique_ptr<implementation> parts, log_level level)
+    : implementation_(std::move(parts)), level_(level)
+{
+}
+
+event_log::~event_log()
+{
+    implementation_->logger.removeAllAppenders();
+}
+
+void event_log::append(log_level level, const log_line& line)
+{
+    implementation_->logger.forcedLog(library_level(level), line.text());
+}
+
+void event_log::append_limited(log_level level, log_line line,
+                               std::uint64_t omitted)
+{
+    if (omitted > 0)
+    {
+        line.with("omitted", omitted);
+    }
+    append(level, line);
+}
+
+void event_log::report_omitted(time_point now)
+{
+    for (const auto& [cause, omitted] : limiter_.take_overdue(now))
+    {
+        append(log_level::warn, log_line("lines_omitted")
+                                    .with("cause", cause)
+                                    .with("omitted", omitted));
+    }
+}
+
+} // namespace boragestand::settings
--- /dev/null
+++ b/src/settings/instance_settings.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace boragestand::settings
+{
+
+/// Identity of an instance.
+struct instance_settings
+{
+    std::uint32_t id{0};
+    std::string name;
+    std::string data_centre;
+
+    auto operator<=>(const instance_settings&) const = default;
+};
+
+/// A control instance as others know it.
+struct control_member
+{
+    std::uint32_t id{0};
+    std::string name;
+    std::string http; ///< TCP, HTTP/2, as "A.B.C.D:PORT"
+
+    auto operator<=>(const control_member&) const = default;
+};
+
+} // namespace boragestand::settings
--- a/src/settings/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "settings/settings.hpp"
--- a/src/state/note_application.cpp
+++ b/src/state/note_application.cpp
@@ -361,8 +361,8 @@
 
 } // namespace
 
-checked<configuration> apply(const release_note& note,
-                             const configuration& current)
+document::checked<configuration> apply(const release_note& note,
+                                       const configuration& current)
 {
     document::fault_list faults;
     configuration next = applied(note, current, faults);
@@ -373,8 +373,8 @@
     return next;
 }
 
-checked<checked_note> check_release_note(std::string_view text,
-                                         const configuration& current)
+document::checked<checked_note> check_release_note(std::string_view text,
+                                                   const configuration& current)
 {
     document::fault_list faults;
     release_note note = read_release_note(text, faults);
--- a/src/state/note_application.hpp
+++ b/src/state/note_application.hpp
@@ -4,11 +4,8 @@
 #include "state/configuration.hpp"
 #include "state/release_note.hpp"
 
-#include <tl/expected.hpp>
-
-#include <string>
+#include <cstddef>
 #include <string_view>
-#include <vector>
 
 namespace boragestand::state
 {
@@ -18,10 +15,6 @@
 constexpr std::size_t max_rules = 50000;
 constexpr std::size_t max_overrides = 100000;
 
-/// A value, or all faults that prevented it.
-template <typename Value>
-using checked = tl::expected<Value, std::vector<document::fault>>;
-
 /// A note that fits the configuration it was checked against.
 struct checked_note
 {
@@ -31,12 +24,12 @@
 
 /// The configuration after a note, with the next revision, or all faults.
 /// Withdrawing a service also withdraws its rules, overrides and agreements.
-checked<configuration> apply(const release_note& note,
-                             const configuration& current);
+document::checked<configuration> apply(const release_note& note,
+                                       const configuration& current);
 
 /// Reads a note and applies it; reports faults of both steps at once. Never
 /// throws.
-checked<checked_note> check_release_note(std::string_view text,
-                                         const configuration& current);
+document::checked<checked_note>
+check_release_note(std::string_view text, const configuration& current);
 
 } // namespace boragestand::state
