--- /dev/null
+++ b/src/coordination/load_view.cpp
@@ -0,0 +1,102 @@
+#include "coordination/load_view.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace boragestand::coordination
+{
+
+namespace
+{
+
+std::uint16_t narrowed(std::uint32_t count)
+{
+    constexpr std::uint32_t most = std::numeric_limits<std::uint16_t>::max();
+    return static_cast<std::uint16_t>(std::min(count, most));
+}
+
+std::uint32_t growth(std::uint32_t now, std::uint32_t before)
+{
+    return now > before ? now - before : 0;
+}
+
+} // namespace
+
+void load_view::apply(instance_id from,
+                      std::vector<protocol::upstream_load> loads,
+                      time_point now)
+{
+    peers_[from] = {now, std::move(loads)};
+    sum_peers();
+}
+
+void load_view::forget(instance_id instance)
+{
+    if (peers_.erase(instance) > 0)
+    {
+        sum_peers();
+    }
+}
+
+void load_view::advance(time_point now)
+{
+    const auto dropped =
+        std::erase_if(peers_, [now](const auto& item)
+                      { return item.second.at + report_age_limit <= now; });
+    if (dropped > 0)
+    {
+        sum_peers();
+    }
+}
+
+estimated_load load_view::estimate(upstream_id upstream) const
+{
+    estimated_load load;
+    const auto others = peer_sums_.find(upstream);
+    if (others != peer_sums_.end())
+    {
+        load = others->second;
+    }
+    const auto found = own_.find(upstream);
+    if (found == own_.end())
+    {
+        return load;
+    }
+    const own_load& mine = found->second;
+    const auto peers = static_cast<std::uint32_t>(peers_.size());
+    load.open += mine.now.open;
+    load.running += mine.now.running +
+                    peers * growth(mine.now.running, mine.reported.running);
+    load.long_work += mine.now.long_work;
+    return load;
+}
+
+void load_view::report(service_id service, protocol::load_report& report)
+{
+    std::erase_if(own_, [](const auto& item)
+                  { return item.second.now == estimated_load{}; });
+    for (auto& [upstream, load] : own_)
+    {
+        load.reported = load.now;
+        report.loads.push_back({service, upstream, load.now.open,
+                                narrowed(load.now.running),
+                                narrowed(load.now.long_work)});
+    }
+}
+
+void load_view::sum_peers()
+{
+    peer_sums_.clear();
+    for (const auto& [instance, peer] : peers_)
+    {
+        for (const protocol::upstream_load& load : peer.loads)
+        {
+            estimated_load& sum = peer_sums_[load.upstream];
+            sum.open += load.open;
+            sum.running += load.running;
+            sum.long_work += load.long_work;
+        }
+    }
+}
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/load_view.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "coordination/traffic_types.hpp"
+
+#include <map>
+#include <vector>
+
+namespace boragestand::coordination
+{
+
+/// Reports older than this count no more.
+constexpr duration report_age_limit = std::chrono::seconds(2);
+
+/// Flows of one upstream over all owners, as far as this owner can tell.
+struct estimated_load
+{
+    std::uint32_t open{0};
+    std::uint32_t running{0};
+    std::uint32_t long_work{0};
+
+    auto operator<=>(const estimated_load&) const = default;
+};
+
+/// Own flow counts and reported ones of the other owners for one service.
+class load_view
+{
+public:
+    /// Own counts of an upstream, to be changed as flows come and go.
+    estimated_load& own(upstream_id upstream) { return own_[upstream].now; }
+
+    /// Takes the part of a report that is about this service.
+    void apply(instance_id from, std::vector<protocol::upstream_load> loads,
+               time_point now);
+
+    /// Forgets the report of an instance.
+    void forget(instance_id instance);
+
+    /// Drops reports that are too old.
+    void advance(time_point now);
+
+    /// Load over all owners. Peers are taken to have added as many running
+    /// flows since their reports as this owner did since its own: owners that
+    /// see the same reports choose alike.
+    estimated_load estimate(upstream_id upstream) const;
+
+    /// Adds own counts of a service to a report, and takes them as those that
+    /// the peers know.
+    void report(service_id service, protocol::load_report& report);
+
+    /// Number of owners with a valid report, this one included.
+    std::uint32_t owners() const
+    {
+        return 1 + static_cast<std::uint32_t>(peers_.size());
+    }
+
+private:
+    struct own_load
+    {
+        estimated_load now;
+        estimated_load reported;
+    };
+
+    struct peer_load
+    {
+        time_point at;
+        std::vector<protocol::upstream_load> loads;
+    };
+
+    void sum_peers();
+
+    std::map<upstream_id, own_load> own_;
+    std::map<upstream_id, estimated_load> peer_sums_;
+    std::map<instance_id, peer_load> peers_;
+};
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/placement.cpp
@@ -0,0 +1,231 @@
+#include "coordination/placement.hpp"
+
+#include "coordination/traffic_policy.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <vector>
+
+namespace boragestand::coordination
+{
+
+namespace
+{
+
+// Seed of the second choice among the upstreams.
+constexpr std::uint64_t second_choice_salt = 0x51ed270b7a14d2c3ULL;
+
+bool connects(const placement_candidate& candidate)
+{
+    return candidate.load.open < candidate.connections;
+}
+
+bool has_free_slot(const placement_candidate& candidate,
+                   const placement_request& request)
+{
+    return connects(candidate) &&
+           candidate.load.running < candidate.slots + request.pipeline;
+}
+
+bool filled_with_long(const placement_candidate& candidate)
+{
+    return candidate.load.long_work >= candidate.slots;
+}
+
+bool leaves_slot_to_short(const placement_candidate& candidate)
+{
+    return candidate.load.long_work + 1 < candidate.slots;
+}
+
+// Slots that long work may take over the whole service.
+bool long_work_fits(std::span<const placement_candidate> candidates)
+{
+    std::uint32_t slots = 0;
+    std::uint32_t running = 0;
+    std::uint32_t long_work = 0;
+    for (const placement_candidate& candidate : candidates)
+    {
+        slots += candidate.slots;
+        running += candidate.load.running;
+        long_work += candidate.load.long_work;
+    }
+    const std::uint32_t short_work = running - std::min(running, long_work);
+    const std::uint32_t reserve = std::min(slots / 2, 2 * short_work);
+    return long_work + reserve < slots;
+}
+
+// Smaller is better: first the share of taken slots, then the default, then an
+// order that differs from flow to flow so that owners do not choose alike.
+auto rank(const placement_candidate& candidate, upstream_id default_choice,
+          const placement_request& request)
+{
+    const auto taken =
+        request.is_long ? candidate.load.long_work : candidate.load.running;
+    const double share =
+        static_cast<double>(taken) / std::max(1u, candidate.slots);
+    return std::tuple(share, candidate.upstream != default_choice,
+                      mix_hashes(request.flow_hash, candidate.upstream.value));
+}
+
+template <typename Predicate>
+const placement_candidate*
+best_of(std::span<const placement_candidate> candidates,
+        upstream_id default_choice, const placement_request& request,
+        Predicate eligible)
+{
+    const placement_candidate* best = nullptr;
+    for (const placement_candidate& candidate : candidates)
+    {
+        if (!eligible(candidate))
+        {
+            continue;
+        }
+        if (best == nullptr || rank(candidate, default_choice, request) <
+                                   rank(*best, default_choice, request))
+        {
+            best = &candidate;
+        }
+    }
+    return best;
+}
+
+const placement_candidate*
+choose_by_wait(std::span<const placement_candidate> candidates,
+               upstream_id default_choice, const placement_request& request)
+{
+    const auto free = [&request](const placement_candidate& candidate)
+    {
+        return has_free_slot(candidate, request);
+    };
+    const auto preferred = [&](const placement_candidate& candidate)
+    {
+        return free(candidate) &&
+               (request.is_long ? leaves_slot_to_short(candidate)
+                                : !filled_with_long(candidate));
+    };
+    const auto* best = best_of(candidates, default_choice, request, preferred);
+    if (best != nullptr || !request.is_long || !long_work_fits(candidates))
+    {
+        return best;
+    }
+    return best_of(candidates, default_choice, request, free);
+}
+
+std::optional<placement_choice>
+place_by_wait(std::span<const placement_candidate> candidates,
+              upstream_id default_choice, const placement_request& request)
+{
+    const auto* best = choose_by_wait(candidates, default_choice, request);
+    if (best == nullptr)
+    {
+        return std::nullopt;
+    }
+    if (best->upstream == default_choice)
+    {
+        return placement_choice{default_choice,
+                                placement_reason::default_choice};
+    }
+    const auto home =
+        std::find_if(candidates.begin(), candidates.end(),
+                     [default_choice](const placement_candidate& candidate)
+                     { return candidate.upstream == default_choice; });
+    const bool avoids_long = !request.is_long && home != candidates.end() &&
+                             home->load.long_work > best->load.long_work;
+    return placement_choice{best->upstream,
+                            avoids_long ? placement_reason::short_first
+                                        : placement_reason::less_loaded};
+}
+
+double flows_by_weight(const placement_candidate& candidate)
+{
+    return static_cast<double>(candidate.load.open) /
+           std::max<double>(1.0, candidate.weight);
+}
+
+const placement_candidate* find(std::span<const placement_candidate> candidates,
+                                upstream_id upstream)
+{
+    const auto found =
+        std::find_if(candidates.begin(), candidates.end(),
+                     [upstream](const placement_candidate& candidate)
+                     { return candidate.upstream == upstream; });
+    return found == candidates.end() ? nullptr : &*found;
+}
+
+// Two choices: the deviation goes to a second upstream chosen by hash, not to
+// the least loaded one, which all owners would fill at the same time.
+const placement_candidate*
+second_choice(std::span<const placement_candidate> candidates,
+              std::uint64_t flow_hash)
+{
+    std::vector<protocol::settled_upstream> set;
+    set.reserve(candidates.size());
+    for (const placement_candidate& candidate : candidates)
+    {
+        set.push_back({candidate.upstream, candidate.weight});
+    }
+    const auto chosen =
+        rendezvous_choice(set, mix_hashes(flow_hash, second_choice_salt));
+    return chosen ? find(candidates, *chosen) : nullptr;
+}
+
+bool overloaded(std::span<const placement_candidate> candidates,
+                const placement_candidate& home, unsigned imbalance_percent)
+{
+    double open = 0;
+    double weight = 0;
+    for (const placement_candidate& candidate : candidates)
+    {
+        open += candidate.load.open;
+        weight += std::max<double>(1.0, candidate.weight);
+    }
+    return flows_by_weight(home) * 100 > open / weight * imbalance_percent;
+}
+
+std::optional<placement_choice>
+place_by_balance(std::span<const placement_candidate> candidates,
+                 upstream_id default_choice, const placement_request& request)
+{
+    const auto* home = find(candidates, default_choice);
+    if (home != nullptr && connects(*home) &&
+        !overloaded(candidates, *home, request.imbalance_percent))
+    {
+        return placement_choice{default_choice,
+                                placement_reason::default_choice};
+    }
+    const auto* other = second_choice(candidates, request.flow_hash);
+    if (home != nullptr && connects(*home) &&
+        (other == nullptr || !connects(*other) ||
+         flows_by_weight(*other) >= flows_by_weight(*home)))
+    {
+        return placement_choice{default_choice,
+                                placement_reason::default_choice};
+    }
+    if (other == nullptr || !connects(*other))
+    {
+        other = best_of(candidates, default_choice, request, connects);
+    }
+    if (other == nullptr)
+    {
+        return std::nullopt;
+    }
+    return placement_choice{other->upstream, placement_reason::less_loaded};
+}
+
+} // namespace
+
+std::optional<placement_choice>
+choose_upstream(std::span<const placement_candidate> candidates,
+                upstream_id default_choice, const placement_request& request)
+{
+    if (!request.may_deviate)
+    {
+        return placement_choice{default_choice,
+                                placement_reason::default_choice};
+    }
+    return request.slots_bind
+               ? place_by_wait(candidates, default_choice, request)
+               : place_by_balance(candidates, default_choice, request);
+}
+
+} // namespace boragestand::coordination
--- a/src/coordination/service_traffic.cpp
+++ b/src/coordination/service_traffic.cpp
@@ -2,28 +2,67 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace boragestand::coordination
 {
 
-service_traffic::service_traffic(service_id id) : id_(id) {}
+namespace
+{
+
+// Flows are looked through for idle ones, and upstreams judged, this often.
+constexpr duration sweep_interval = std::chrono::milliseconds(50);
+
+// Older answers of load endpoints tell nothing about slots.
+constexpr duration endpoint_age_limit = std::chrono::milliseconds(500);
+
+// Open flows by which a load endpoint may differ from the counts.
+constexpr std::uint32_t open_tolerance = 16;
+
+running_limits limits_of(const state::service& definition)
+{
+    running_limits limits;
+    limits.silent_limit = std::chrono::milliseconds(definition.short_limit_ms);
+    return limits;
+}
+
+template <typename Item>
+std::vector<Item> of_service(const std::vector<Item>& items, service_id id)
+{
+    std::vector<Item> found;
+    std::copy_if(items.begin(), items.end(), std::back_inserter(found),
+                 [id](const Item& item) { return item.service == id; });
+    return found;
+}
+
+} // namespace
+
+service_traffic::service_traffic(instance_id self, service_id id,
+                                 const traffic_settings& settings)
+    : id_(id)
+    , settings_(settings)
+    , health_(id, health_limits{.ejection_percent = settings.ejection_percent})
+    , running_(running_limits{})
+    , queue_(settings.aging_limit)
+    , gate_(self, id)
+{
+}
 
 void service_traffic::apply(const state::configuration& configuration,
-                            time_point now)
+                            const clock_reading& clock)
 {
+    clock_ = clock;
     const state::service* found = configuration.find_service(id_);
     configured_ = found != nullptr;
     if (found != nullptr)
     {
         definition_ = *found;
+        running_.set_limits(limits_of(definition_));
     }
-    std::vector<state::upstream_override> overrides;
-    std::copy_if(configuration.overrides.begin(), configuration.overrides.end(),
-                 std::back_inserter(overrides),
-                 [this](const state::upstream_override& candidate)
-                 { return candidate.service == id_; });
-    directory_.apply(std::move(overrides));
-    refresh(now);
+    directory_.apply(of_service(configuration.overrides, id_));
+    rules_.apply(of_service(configuration.rules, id_));
+    refusals_.apply(of_service(configuration.agreements, id_));
+    refresh(clock.now);
 }
 
 bool service_traffic::apply(const protocol::upstream_record& record,
@@ -37,30 +76,247 @@
     return true;
 }
 
+void service_traffic::apply(instance_id from,
+                            std::vector<protocol::upstream_load> loads,
+                            time_point now)
+{
+    load_.apply(from, std::move(loads), now);
+}
+
+void service_traffic::apply(const endpoint_report& report, time_point now)
+{
+    health_.note(report, now);
+    const std::uint32_t counted = load_.estimate(report.upstream).open;
+    const std::uint32_t tolerance = std::max(open_tolerance, counted / 4);
+    const std::uint32_t difference =
+        report.open > counted ? report.open - counted : counted - report.open;
+    if (difference > tolerance || report.running > counted + open_tolerance)
+    {
+        health_.contradict_load(report.upstream, now);
+        endpoint_loads_.erase(report.upstream);
+        return;
+    }
+    if (health_.trusted(report.upstream, now))
+    {
+        endpoint_loads_[report.upstream] = {report.running, now};
+    }
+}
+
 admission service_traffic::admit(const flow_arrival& arrival, time_point now)
 {
     if (!configured_)
     {
         return dropped{drop_reason::unknown_service};
     }
+    if (arrival.work != protocol::request_class::unspecified)
+    {
+        return admit_known(arrival, now);
+    }
+    flow_arrival classified = arrival;
+    classified.work = definition_.work;
+    return admit_known(classified, now);
+}
+
+admission service_traffic::admit_known(const flow_arrival& arrival,
+                                       time_point now)
+{
     advance(now);
-    const auto choice = rendezvous_choice(active_, arrival.flow_hash);
-    if (!choice)
+    if (active_.empty())
     {
         return dropped{drop_reason::no_upstream};
     }
-    return placed{*choice, directory_.find(*choice)->address,
-                  placement_reason::default_choice};
+    std::uint16_t share = 0;
+    for (const state::rule* rule : rules_.matching(arrival))
+    {
+        if (rule->action == state::rule_action::share)
+        {
+            share = rules_.share_number(rule->name);
+        }
+        if (rule->action != state::rule_action::refuse)
+        {
+            break;
+        }
+        const auto agreement =
+            refusals_.take(rule->name, now, clock_.wall_at(now));
+        if (agreement)
+        {
+            return refused{*agreement};
+        }
+    }
+    const bool is_long = arrival.work == protocol::request_class::long_work;
+    if (!queue_.must_wait(is_long, share, now))
+    {
+        if (const auto chosen = place(arrival, share, now))
+        {
+            return *chosen;
+        }
+    }
+    return hold(arrival, share, now);
 }
 
-void service_traffic::advance(time_point now)
+admission service_traffic::hold(const flow_arrival& arrival,
+                                std::uint16_t share, time_point now)
+{
+    const duration limit = std::chrono::milliseconds(definition_.hold_limit_ms);
+    const duration wait = arrival.time_left > duration(0)
+                              ? std::min(arrival.time_left, limit)
+                              : limit;
+    if (queue_.push({arrival, share, now, now + wait},
+                    definition_.hold_capacity))
+    {
+        return held{};
+    }
+    if (share == 0)
+    {
+        press("hold queue full", now);
+    }
+    return dropped{drop_reason::hold_queue_full};
+}
+
+std::optional<placed> service_traffic::place(const flow_arrival& arrival,
+                                             std::uint16_t share,
+                                             time_point now)
 {
-    if (now < next_change_)
+    const auto default_choice = rendezvous_choice(active_, arrival.flow_hash);
+    if (!default_choice || share_used_up(share))
     {
+        return std::nullopt;
+    }
+    load_candidates(now);
+    placement_request request;
+    request.flow_hash = arrival.flow_hash;
+    request.is_long = arrival.work == protocol::request_class::long_work;
+    request.may_deviate = arrival.may_deviate;
+    request.slots_bind = running_.slots_bind();
+    request.imbalance_percent = settings_.imbalance_percent;
+    const auto choice = choose_upstream(candidates_, *default_choice, request);
+    if (!choice)
+    {
+        return std::nullopt;
+    }
+    start(arrival, choice->upstream, share, now);
+    return placed{choice->upstream, directory_.find(choice->upstream)->address,
+                  choice->reason};
+}
+
+void service_traffic::start(const flow_arrival& arrival, upstream_id upstream,
+                            std::uint16_t share, time_point now)
+{
+    running_flow flow;
+    flow.upstream = upstream;
+    flow.since = now;
+    flow.last_progress = now;
+    flow.share = share;
+    flow.counted = true;
+    flow.is_long = arrival.work == protocol::request_class::long_work;
+    running_.start(arrival.flow_hash, flow);
+    estimated_load& own = load_.own(upstream);
+    ++own.open;
+    ++own.running;
+    own.long_work += flow.is_long ? 1 : 0;
+    if (share != 0)
+    {
+        ++share_running_[share];
+    }
+}
+
+bool service_traffic::share_used_up(std::uint16_t share) const
+{
+    const state::rule* rule = rules_.share_rule(share);
+    if (rule == nullptr)
+    {
+        return false;
+    }
+    std::uint32_t slots = 0;
+    for (const placement_candidate& candidate : candidates_)
+    {
+        slots += candidate.slots;
+    }
+    const auto found = share_running_.find(share);
+    const std::uint32_t running =
+        found == share_running_.end() ? 0 : found->second;
+    // Each owner has an equal part of the share, but at least one slot, since
+    // its callers would get nothing otherwise.
+    const std::uint32_t part =
+        slots * rule->share_percent / 100 / load_.owners();
+    return rule->share_percent == 0 || running >= std::max(part, 1u);
+}
+
+bool service_traffic::cancel(hold_ticket ticket)
+{
+    return queue_.cancel(ticket).has_value();
+}
+
+void service_traffic::note(const flow_evidence& evidence, time_point now)
+{
+    health_.note(evidence, now);
+    if (std::holds_alternative<flow_adopted>(evidence.what))
+    {
+        ++load_.own(evidence.upstream).open;
         return;
     }
-    directory_.forget_old(now);
-    refresh(now);
+    if (std::holds_alternative<flow_ended>(evidence.what))
+    {
+        end_flow(evidence);
+        return;
+    }
+    if (std::holds_alternative<flow_became_long>(evidence.what))
+    {
+        if (const auto flow = running_.become_long(evidence.flow_hash))
+        {
+            ++load_.own(flow->upstream).long_work;
+        }
+        return;
+    }
+    if (!std::holds_alternative<flow_progressed>(evidence.what))
+    {
+        return;
+    }
+    const bool is_long = evidence.work == protocol::request_class::long_work;
+    const auto flow =
+        running_.progress(evidence.flow_hash, evidence.upstream, is_long, now);
+    if (flow)
+    {
+        estimated_load& own = load_.own(flow->upstream);
+        ++own.running;
+        own.long_work += flow->is_long ? 1 : 0;
+    }
+}
+
+void service_traffic::end_flow(const flow_evidence& evidence)
+{
+    estimated_load& own = load_.own(evidence.upstream);
+    own.open -= own.open > 0 ? 1 : 0;
+    if (const auto flow = running_.end(evidence.flow_hash))
+    {
+        free_slot(*flow);
+    }
+}
+
+void service_traffic::free_slot(const running_flow& flow)
+{
+    estimated_load& own = load_.own(flow.upstream);
+    own.running -= own.running > 0 ? 1 : 0;
+    own.long_work -= flow.is_long && own.long_work > 0 ? 1 : 0;
+    if (flow.share != 0)
+    {
+        --share_running_[flow.share];
+    }
+}
+
+void service_traffic::report(protocol::load_report& report)
+{
+    load_.report(id_, report);
+}
+
+std::optional<director_request> service_traffic::director_due(time_point now)
+{
+    return gate_.due(now);
+}
+
+void service_traffic::director_acknowledged(std::uint64_t episode)
+{
+    gate_.acknowledged(episode);
 }
 
 std::span<const protocol::settled_upstream> service_traffic::active_set() const
@@ -68,14 +324,75 @@
     return active_;
 }
 
+std::vector<traffic_note> service_traffic::take_notes()
+{
+    auto notes = std::exchange(notes_, {});
+    const auto judged = health_.take_notes();
+    notes.insert(notes.end(), judged.begin(), judged.end());
+    return notes;
+}
+
+void service_traffic::advance(time_point now)
+{
+    if (now >= next_sweep_)
+    {
+        next_sweep_ = now + sweep_interval;
+        load_.advance(now);
+        gate_.advance(now);
+        for (const running_flow& flow : running_.take_idle(now))
+        {
+            free_slot(flow);
+        }
+        next_change_ = time_point::min();
+    }
+    if (now >= next_change_)
+    {
+        refresh(now);
+    }
+}
+
 void service_traffic::refresh(time_point now)
 {
+    directory_.forget_old(now);
+    const auto ready = directory_.ready(now);
+    std::vector<upstream_id> ids;
+    for (const ready_upstream& candidate : ready)
+    {
+        ids.push_back(candidate.record->upstream);
+    }
+    health_.judge(ids, now);
     active_.clear();
-    for (const ready_upstream& candidate : directory_.ready(now))
+    candidates_.clear();
+    for (const auto& [record, full_weight] : ready)
     {
-        active_.push_back({candidate.record->upstream, candidate.weight});
+        if (health_.ejected(record->upstream))
+        {
+            continue;
+        }
+        const bool trial = health_.on_trial(record->upstream);
+        const auto weight =
+            trial ? std::max<std::uint16_t>(full_weight / warmup_steps, 1)
+                  : full_weight;
+        active_.push_back({record->upstream, weight});
+        candidates_.push_back(
+            {record->upstream, weight, record->slots, record->connections, {}});
     }
     next_change_ = directory_.next_change(now);
 }
 
+void service_traffic::load_candidates(time_point now)
+{
+    for (placement_candidate& candidate : candidates_)
+    {
+        candidate.load = load_.estimate(candidate.upstream);
+        const auto told = endpoint_loads_.find(candidate.upstream);
+        if (told != endpoint_loads_.end() &&
+            now < told->second.at + endpoint_age_limit)
+        {
+            candidate.load.running =
+                std::max(candidate.load.running, told->second.running);
+        }
+    }
+}
+
 } // namespace boragestand::coordination
--- a/src/coordination/service_traffic.hpp
+++ b/src/coordination/service_traffic.hpp
@@ -1,7 +1,15 @@
 #pragma once
 
+#include "coordination/admission_rules.hpp"
+#include "coordination/director_gate.hpp"
+#include "coordination/hold_queue.hpp"
+#include "coordination/load_view.hpp"
+#include "coordination/placement.hpp"
+#include "coordination/refusal_ledger.hpp"
+#include "coordination/running_flows.hpp"
 #include "coordination/traffic_policy.hpp"
 #include "coordination/upstream_directory.hpp"
+#include "coordination/upstream_health.hpp"
 
 #include <span>
 #include <vector>
@@ -9,23 +17,66 @@
 namespace boragestand::coordination
 {
 
+/// A time on both clocks.
+struct clock_reading
+{
+    time_point now;
+    wall_time wall;
+
+    /// The wall-clock time at another time of the monotonic clock.
+    wall_time wall_at(time_point other) const
+    {
+        return wall + std::chrono::duration_cast<std::chrono::milliseconds>(
+                          other - now);
+    }
+
+    auto operator<=>(const clock_reading&) const = default;
+};
+
 /// Placement and admission for the flows of one service.
 class service_traffic
 {
 public:
-    explicit service_traffic(service_id id);
+    service_traffic(instance_id self, service_id id,
+                    const traffic_settings& settings);
 
     /// Puts the part of a configuration that names this service into force.
-    void apply(const state::configuration& configuration, time_point now);
+    void apply(const state::configuration& configuration,
+               const clock_reading& clock);
 
     /// Takes an announcement; returns whether it was newer.
     bool apply(const protocol::upstream_record& record, time_point now);
 
+    /// Takes the load of this service that another owner reports.
+    void apply(instance_id from, std::vector<protocol::upstream_load> loads,
+               time_point now);
+
+    /// Takes the answer of a health or load endpoint.
+    void apply(const endpoint_report& report, time_point now);
+
+    /// Drops the reported load of an instance.
+    void forget(instance_id instance) { load_.forget(instance); }
+
     /// Decides about a new flow.
     admission admit(const flow_arrival& arrival, time_point now);
 
-    /// Brings leases and warm-up up to date.
-    void advance(time_point now);
+    /// Takes a flow out of the hold queue; returns false if it is not held.
+    bool cancel(hold_ticket ticket);
+
+    /// Takes what packets of a flow told.
+    void note(const flow_evidence& evidence, time_point now);
+
+    /// Decisions about held flows that are due.
+    void poll(const clock_reading& clock, std::vector<hold_outcome>& outcomes);
+
+    /// The request to the director that is to be sent now.
+    std::optional<director_request> director_due(time_point now);
+
+    /// Ends the repetition of a request.
+    void director_acknowledged(std::uint64_t episode);
+
+    /// Adds the own load to a report.
+    void report(protocol::load_report& report);
 
     /// The upstreams that take new flows.
     std::span<const protocol::settled_upstream> active_set() const;
@@ -33,15 +84,54 @@
     /// Announced upstreams.
     const upstream_directory& directory() const { return directory_; }
 
+    /// Takes the decisions noted since the last call.
+    std::vector<traffic_note> take_notes();
+
 private:
+    struct endpoint_load
+    {
+        std::uint32_t running{0};
+        time_point at;
+    };
+
+    void advance(time_point now);
     void refresh(time_point now);
+    void load_candidates(time_point now);
+    admission admit_known(const flow_arrival& arrival, time_point now);
+    admission hold(const flow_arrival& arrival, std::uint16_t share,
+                   time_point now);
+    std::optional<placed> place(const flow_arrival& arrival,
+                                std::uint16_t share, time_point now);
+    void start(const flow_arrival& arrival, upstream_id upstream,
+               std::uint16_t share, time_point now);
+    bool share_used_up(std::uint16_t share) const;
+    void free_slot(const running_flow& flow);
+    void end_flow(const flow_evidence& evidence);
+    void expire(std::vector<hold_outcome>& outcomes, time_point now);
+    bool release_one(std::vector<hold_outcome>& outcomes, time_point now);
+    void press(const char* reason, time_point now);
+    admission decide_expired(const held_flow& flow, time_point now);
 
     service_id id_;
+    traffic_settings settings_;
     bool configured_{false};
     state::service definition_;
     upstream_directory directory_;
+    upstream_health health_;
+    running_flows running_;
+    load_view load_;
+    hold_queue queue_;
+    admission_rules rules_;
+    refusal_ledger refusals_;
+    director_gate gate_;
+    clock_reading clock_;
     std::vector<protocol::settled_upstream> active_;
+    std::vector<placement_candidate> candidates_;
+    std::map<upstream_id, endpoint_load> endpoint_loads_;
+    std::map<std::uint16_t, std::uint32_t> share_running_;
+    std::vector<traffic_note> notes_;
     time_point next_change_{time_point::min()};
+    time_point next_sweep_{time_point::min()};
 };
 
 } // namespace boragestand::coordination
--- a/src/coordination/traffic_policy.cpp
+++ b/src/coordination/traffic_policy.cpp
@@ -2,11 +2,22 @@
 
 #include "coordination/service_traffic.hpp"
 
+#include <algorithm>
+#include <iterator>
 #include <map>
+#include <utility>
 
 namespace boragestand::coordination
 {
 
+namespace
+{
+
+// Notes that nobody takes are dropped beyond this number.
+constexpr std::size_t most_notes = 1000;
+
+} // namespace
+
 struct traffic_policy::implementation
 {
     implementation(instance_id own_id, const traffic_settings& limits)
@@ -14,31 +25,54 @@
     {
     }
 
-    service_traffic& service_of(service_id id, time_point now)
+    service_traffic& service_of(service_id id)
     {
         const auto found = services.find(id);
         if (found != services.end())
         {
             return found->second;
         }
-        auto& added = services.emplace(id, service_traffic(id)).first->second;
+        auto& added = services.emplace(id, service_traffic(self, id, settings))
+                          .first->second;
         if (configuration)
         {
-            added.apply(*configuration, now);
+            added.apply(*configuration, clock);
         }
         return added;
     }
 
+    service_traffic* find(service_id id)
+    {
+        const auto found = services.find(id);
+        return found == services.end() ? nullptr : &found->second;
+    }
+
     const service_traffic* find(service_id id) const
     {
         const auto found = services.find(id);
         return found == services.end() ? nullptr : &found->second;
     }
 
+    void collect_notes()
+    {
+        for (auto& [id, service] : services)
+        {
+            auto added = service.take_notes();
+            if (notes.size() + added.size() <= most_notes)
+            {
+                std::move(added.begin(), added.end(),
+                          std::back_inserter(notes));
+            }
+        }
+    }
+
     instance_id self;
     traffic_settings settings;
+    clock_reading clock;
+    std::uint32_t report_sequence{0};
     std::shared_ptr<const state::configuration> configuration;
     std::map<service_id, service_traffic> services;
+    std::vector<traffic_note> notes;
 };
 
 traffic_policy::traffic_policy(instance_id self,
@@ -53,7 +87,7 @@
 
 void traffic_policy::apply(
     std::shared_ptr<const state::configuration> configuration, time_point now,
-    wall_time /*wall_now*/)
+    wall_time wall_now)
 {
     auto& own = *implementation_;
     if (!configuration ||
@@ -62,85 +96,132 @@
     {
         return;
     }
+    own.clock = {now, wall_now};
     own.configuration = std::move(configuration);
     for (const state::service& defined : own.configuration->services)
     {
-        own.service_of(defined.id, now);
+        own.service_of(defined.id);
     }
     for (auto& [id, service] : own.services)
     {
-        service.apply(*own.configuration, now);
+        service.apply(*own.configuration, own.clock);
     }
 }
 
 bool traffic_policy::apply(const protocol::upstream_record& record,
                            time_point now)
 {
-    return implementation_->service_of(record.service, now).apply(record, now);
+    return implementation_->service_of(record.service).apply(record, now);
 }
 
-void traffic_policy::apply(instance_id /*from*/,
-                           const protocol::load_report& /*report*/,
-                           time_point /*now*/)
+void traffic_policy::apply(instance_id from,
+                           const protocol::load_report& report, time_point now)
 {
+    std::map<service_id, std::vector<protocol::upstream_load>> parts;
+    for (const protocol::upstream_load& load : report.loads)
+    {
+        parts[load.service].push_back(load);
+    }
+    for (auto& [id, service] : implementation_->services)
+    {
+        service.apply(from, std::move(parts[id]), now);
+    }
 }
 
-void traffic_policy::apply(const endpoint_report& /*report*/,
-                           time_point /*now*/)
+void traffic_policy::apply(const endpoint_report& report, time_point now)
 {
+    if (auto* service = implementation_->find(report.service))
+    {
+        service->apply(report, now);
+    }
 }
 
-void traffic_policy::forget(instance_id /*instance*/) {}
+void traffic_policy::forget(instance_id instance)
+{
+    for (auto& [id, service] : implementation_->services)
+    {
+        service.forget(instance);
+    }
+}
 
 admission traffic_policy::admit(const flow_arrival& arrival, time_point now)
 {
-    const auto found = implementation_->services.find(arrival.service);
-    if (found == implementation_->services.end())
+    auto* service = implementation_->find(arrival.service);
+    if (service == nullptr)
     {
         return dropped{drop_reason::unknown_service};
     }
-    return found->second.admit(arrival, now);
+    return service->admit(arrival, now);
 }
 
-bool traffic_policy::cancel(hold_ticket /*ticket*/)
+bool traffic_policy::cancel(hold_ticket ticket)
 {
-    return false;
+    auto& services = implementation_->services;
+    return std::any_of(services.begin(), services.end(),
+                       [ticket](auto& item)
+                       { return item.second.cancel(ticket); });
 }
 
-void traffic_policy::note(const flow_evidence& /*evidence*/, time_point /*now*/)
+void traffic_policy::note(const flow_evidence& evidence, time_point now)
 {
+    if (auto* service = implementation_->find(evidence.service))
+    {
+        service->note(evidence, now);
+    }
 }
 
 std::vector<hold_outcome> traffic_policy::poll(time_point now,
-                                               wall_time /*wall_now*/)
+                                               wall_time wall_now)
 {
-    for (auto& [id, service] : implementation_->services)
+    auto& own = *implementation_;
+    own.clock = {now, wall_now};
+    std::vector<hold_outcome> outcomes;
+    for (auto& [id, service] : own.services)
     {
-        service.advance(now);
+        service.poll(own.clock, outcomes);
     }
-    return {};
+    own.collect_notes();
+    return outcomes;
 }
 
-std::vector<director_request>
-traffic_policy::director_requests(time_point /*now*/)
+std::vector<director_request> traffic_policy::director_requests(time_point now)
 {
-    return {};
+    std::vector<director_request> due;
+    for (auto& [id, service] : implementation_->services)
+    {
+        if (const auto request = service.director_due(now))
+        {
+            due.push_back(*request);
+        }
+    }
+    return due;
 }
 
-void traffic_policy::director_acknowledged(service_id /*service*/,
-                                           std::uint64_t /*episode*/)
+void traffic_policy::director_acknowledged(service_id service,
+                                           std::uint64_t episode)
 {
+    if (auto* found = implementation_->find(service))
+    {
+        found->director_acknowledged(episode);
+    }
 }
 
 protocol::load_report traffic_policy::report(time_point /*now*/)
 {
-    return {};
+    auto& own = *implementation_;
+    protocol::load_report report;
+    report.sequence = ++own.report_sequence;
+    for (auto& [id, service] : own.services)
+    {
+        service.report(report);
+    }
+    return report;
 }
 
 std::span<const protocol::settled_upstream>
 traffic_policy::active_set(service_id service) const
 {
-    const auto* found = implementation_->find(service);
+    const auto* found = std::as_const(*implementation_).find(service);
     return found == nullptr ? std::span<const protocol::settled_upstream>()
                             : found->active_set();
 }
@@ -148,7 +229,7 @@
 std::optional<transport::endpoint>
 traffic_policy::address_of(service_id service, upstream_id upstream) const
 {
-    const auto* found = implementation_->find(service);
+    const auto* found = std::as_const(*implementation_).find(service);
     const auto* record =
         found == nullptr ? nullptr : found->directory().find(upstream);
     if (record == nullptr)
@@ -172,7 +253,8 @@
 
 std::vector<traffic_note> traffic_policy::take_notes()
 {
-    return {};
+    implementation_->collect_notes();
+    return std::exchange(implementation_->notes, {});
 }
 
 } // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/upstream_health.cpp
@@ -0,0 +1,307 @@
+#include "coordination/upstream_health.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace boragestand::coordination
+{
+
+namespace
+{
+
+constexpr unsigned handshakes_for_mean = 8;
+
+} // namespace
+
+upstream_health::upstream_health(service_id service,
+                                 const health_limits& limits)
+    : service_(service), limits_(limits)
+{
+}
+
+void upstream_health::note(const flow_evidence& evidence, time_point now)
+{
+    const auto found = known_.find(evidence.upstream);
+    if (found == known_.end())
+    {
+        return;
+    }
+    state_of_one& known = found->second;
+    roll(known, now);
+    if (const auto* made = std::get_if<flow_established>(&evidence.what))
+    {
+        ++known.current.answered;
+        ++known.trial_answers;
+        known.current.handshake_sum += made->handshake_time;
+        return;
+    }
+    const auto* ended = std::get_if<flow_ended>(&evidence.what);
+    if (std::holds_alternative<syn_repeated>(evidence.what) ||
+        (ended != nullptr && ended->end == flow_end::unanswered))
+    {
+        ++known.current.unanswered;
+    }
+}
+
+void upstream_health::note(const endpoint_report& report, time_point now)
+{
+    const auto found = known_.find(report.upstream);
+    if (found == known_.end())
+    {
+        return;
+    }
+    state_of_one& known = found->second;
+    roll(known, now);
+    const evidence_counts seen = counts(known);
+    const bool answers = seen.answered >= limits_.failures &&
+                         seen.answered > 2 * seen.unanswered;
+    if (!report.healthy && answers)
+    {
+        contradict(report.upstream, "unhealthy by endpoint, answers flows",
+                   now);
+        return;
+    }
+    if (report.healthy && fails(known, median_handshake()))
+    {
+        contradict(report.upstream, "healthy by endpoint, fails flows", now);
+        return;
+    }
+    known.endpoint_unhealthy = !report.healthy && known.distrusted_until <= now;
+}
+
+void upstream_health::contradict_load(upstream_id upstream, time_point now)
+{
+    if (known_.contains(upstream))
+    {
+        contradict(upstream, "load by endpoint differs from open flows", now);
+    }
+}
+
+bool upstream_health::trusted(upstream_id upstream, time_point now) const
+{
+    const auto found = known_.find(upstream);
+    return found != known_.end() && found->second.distrusted_until <= now;
+}
+
+bool upstream_health::judge(const std::vector<upstream_id>& ready,
+                            time_point now)
+{
+    std::erase_if(known_,
+                  [&ready](const auto& item) {
+                      return !std::binary_search(ready.begin(), ready.end(),
+                                                 item.first);
+                  });
+    bool changed = false;
+    std::size_t ejected_count = 0;
+    for (const upstream_id upstream : ready)
+    {
+        const auto [place, added] = known_.try_emplace(upstream);
+        if (added)
+        {
+            place->second.window_start = now;
+            place->second.good_since = now;
+        }
+        changed |= advance(upstream, place->second, now);
+        ejected_count += place->second.where == standing::ejected ? 1 : 0;
+    }
+    const std::size_t bound = ejection_bound(ready.size());
+    for (; ejected_count > bound; --ejected_count)
+    {
+        bring_back_one();
+        changed = true;
+    }
+    const duration median = median_handshake();
+    for (auto& [upstream, known] : known_)
+    {
+        if (ejected_count >= bound || known.where == standing::ejected ||
+            !fails(known, median))
+        {
+            continue;
+        }
+        eject(upstream, known, now);
+        ++ejected_count;
+        changed = true;
+    }
+    return changed;
+}
+
+bool upstream_health::ejected(upstream_id upstream) const
+{
+    const auto found = known_.find(upstream);
+    return found != known_.end() && found->second.where == standing::ejected;
+}
+
+bool upstream_health::on_trial(upstream_id upstream) const
+{
+    const auto found = known_.find(upstream);
+    return found != known_.end() && found->second.where == standing::trial;
+}
+
+std::vector<traffic_note> upstream_health::take_notes()
+{
+    return std::exchange(notes_, {});
+}
+
+upstream_health::evidence_counts
+upstream_health::counts(const state_of_one& known) const
+{
+    return {known.current.answered + known.former.answered,
+            known.current.unanswered + known.former.unanswered,
+            known.current.handshake_sum + known.former.handshake_sum};
+}
+
+bool upstream_health::fails(const state_of_one& known, duration median) const
+{
+    const evidence_counts seen = counts(known);
+    if (seen.unanswered >= limits_.failures && seen.unanswered > seen.answered)
+    {
+        return true;
+    }
+    // A single failure is enough to end a trial that no answer supports.
+    if (known.where == standing::trial && seen.unanswered > seen.answered)
+    {
+        return true;
+    }
+    if (known.endpoint_unhealthy && seen.answered == 0)
+    {
+        return true;
+    }
+    if (seen.answered < handshakes_for_mean)
+    {
+        return false;
+    }
+    const duration mean = seen.handshake_sum / seen.answered;
+    return mean > limits_.slow_handshake &&
+           mean > median * static_cast<int>(limits_.slow_factor);
+}
+
+duration upstream_health::median_handshake() const
+{
+    std::vector<duration> means;
+    for (const auto& [upstream, known] : known_)
+    {
+        const evidence_counts seen = counts(known);
+        if (seen.answered > 0)
+        {
+            means.push_back(seen.handshake_sum / seen.answered);
+        }
+    }
+    if (means.empty())
+    {
+        return duration(0);
+    }
+    const auto middle = means.begin() + (means.size() - 1) / 2;
+    std::nth_element(means.begin(), middle, means.end());
+    return *middle;
+}
+
+void upstream_health::roll(state_of_one& known, time_point now) const
+{
+    if (now < known.window_start + limits_.window)
+    {
+        return;
+    }
+    const bool adjacent = now < known.window_start + 2 * limits_.window;
+    known.former = adjacent ? known.current : evidence_counts{};
+    known.current = {};
+    known.window_start = now;
+}
+
+void upstream_health::contradict(upstream_id upstream, const char* what,
+                                 time_point now)
+{
+    ++contradictions_;
+    state_of_one& known = known_[upstream];
+    known.endpoint_unhealthy = false;
+    // Noted once per period of distrust, so a lying endpoint cannot fill logs.
+    if (known.distrusted_until <= now)
+    {
+        add_note("endpoint_distrusted", upstream, what);
+    }
+    known.distrusted_until = now + limits_.distrust;
+}
+
+void upstream_health::eject(upstream_id upstream, state_of_one& known,
+                            time_point now)
+{
+    // An upstream that was good for the longest back-off starts over.
+    const bool relapse = known.where == standing::trial ||
+                         (known.back_off > duration(0) &&
+                          now < known.good_since + limits_.longest_back_off);
+    known.back_off =
+        relapse ? std::min(known.back_off * 2, limits_.longest_back_off)
+                : limits_.first_back_off;
+    known.back_off_end = now + known.back_off;
+    known.where = standing::ejected;
+    known.current = {};
+    known.former = {};
+    add_note("upstream_ejected", upstream, "in-band failures");
+}
+
+void upstream_health::try_again(upstream_id upstream, state_of_one& known,
+                                const char* reason)
+{
+    known.where = standing::trial;
+    known.trial_answers = 0;
+    known.current = {};
+    known.former = {};
+    known.endpoint_unhealthy = false;
+    add_note("upstream_on_trial", upstream, reason);
+}
+
+void upstream_health::bring_back_one()
+{
+    auto soonest = known_.end();
+    for (auto item = known_.begin(); item != known_.end(); ++item)
+    {
+        if (item->second.where == standing::ejected &&
+            (soonest == known_.end() ||
+             item->second.back_off_end < soonest->second.back_off_end))
+        {
+            soonest = item;
+        }
+    }
+    if (soonest != known_.end())
+    {
+        try_again(soonest->first, soonest->second, "too few upstreams left");
+    }
+}
+
+bool upstream_health::advance(upstream_id upstream, state_of_one& known,
+                              time_point now)
+{
+    roll(known, now);
+    if (known.where == standing::ejected && known.back_off_end <= now)
+    {
+        try_again(upstream, known, "back-off ended");
+        return true;
+    }
+    if (known.where == standing::trial &&
+        known.trial_answers >= limits_.trial_handshakes)
+    {
+        known.where = standing::good;
+        known.good_since = now;
+        add_note("upstream_returned", upstream, "answered on trial");
+        return true;
+    }
+    return false;
+}
+
+std::size_t upstream_health::ejection_bound(std::size_t ready) const
+{
+    if (ready < 2)
+    {
+        return 0;
+    }
+    const std::size_t bound =
+        (ready * (limits_.ejection_percent + 1) - 1) / 100;
+    return std::min(bound, ready - 1);
+}
+
+void upstream_health::add_note(const char* event, upstream_id upstream,
+                               const char* reason)
+{
+    notes_.push_back({event, service_, upstream, reason});
+}
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/upstream_health.hpp
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "coordination/traffic_types.hpp"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace boragestand::coordination
+{
+
+/// Limits of ejection.
+struct health_limits
+{
+    /// Upstreams of a service that may be ejected at once, in percent, rounded
+    /// up by less than one percentage point so that 33 stands for a third.
+    unsigned ejection_percent{33};
+    /// Unanswered SYNs within the evidence window that eject an upstream, if
+    /// they outnumber its answered ones.
+    unsigned failures{3};
+    /// Evidence counts for this long to twice as long.
+    duration window{std::chrono::seconds(2)};
+    duration first_back_off{std::chrono::seconds(5)};
+    duration longest_back_off{std::chrono::seconds(60)};
+    /// Handshakes that end the trial of an upstream after its back-off.
+    unsigned trial_handshakes{3};
+    /// A mean handshake time over this is slow if it is also slow_factor times
+    /// the median of the service's upstreams.
+    duration slow_handshake{std::chrono::milliseconds(500)};
+    unsigned slow_factor{8};
+    /// For how long an endpoint is not believed after a contradiction.
+    duration distrust{std::chrono::seconds(30)};
+
+    auto operator<=>(const health_limits&) const = default;
+};
+
+/// Judges the upstreams of one service, mainly by what their flows show.
+class upstream_health
+{
+public:
+    upstream_health(service_id service, const health_limits& limits);
+
+    /// Takes in-band evidence.
+    void note(const flow_evidence& evidence, time_point now);
+
+    /// Takes the answer of a health endpoint. It is believed only while in-band
+    /// evidence does not contradict it.
+    void note(const endpoint_report& report, time_point now);
+
+    /// Notes that the load endpoint of an upstream contradicts the flow counts.
+    void contradict_load(upstream_id upstream, time_point now);
+
+    /// Whether the endpoints of an upstream may be believed.
+    bool trusted(upstream_id upstream, time_point now) const;
+
+    /// Ejects and brings back upstreams of the given ones; returns whether the
+    /// outcome of ejected() or on_trial() changed. Upstreams that are not given
+    /// are forgotten.
+    bool judge(const std::vector<upstream_id>& ready, time_point now);
+
+    /// Whether the upstream gets no new flows.
+    bool ejected(upstream_id upstream) const;
+
+    /// Whether the upstream came back and has yet to prove itself.
+    bool on_trial(upstream_id upstream) const;
+
+    /// Contradictions between endpoints and in-band evidence so far.
+    std::uint64_t contradictions() const { return contradictions_; }
+
+    /// Takes the decisions noted since the last call.
+    std::vector<traffic_note> take_notes();
+
+private:
+    enum class standing
+    {
+        good,
+        ejected,
+        trial
+    };
+
+    struct evidence_counts
+    {
+        unsigned answered{0};
+        unsigned unanswered{0};
+        duration handshake_sum{0};
+    };
+
+    struct state_of_one
+    {
+        standing where{standing::good};
+        evidence_counts current;
+        evidence_counts former; ///< of the window before
+        time_point window_start;
+        time_point back_off_end;
+        duration back_off{0};
+        time_point good_since;
+        unsigned trial_answers{0};
+        bool endpoint_unhealthy{false};
+        time_point distrusted_until{time_point::min()};
+    };
+
+    evidence_counts counts(const state_of_one& known) const;
+    bool fails(const state_of_one& known, duration median) const;
+    duration median_handshake() const;
+    void roll(state_of_one& known, time_point now) const;
+    void contradict(upstream_id upstream, const char* what, time_point now);
+    void eject(upstream_id upstream, state_of_one& known, time_point now);
+    void try_again(upstream_id upstream, state_of_one& known,
+                   const char* reason);
+    void bring_back_one();
+    bool advance(upstream_id upstream, state_of_one& known, time_point now);
+    std::size_t ejection_bound(std::size_t ready) const;
+    void add_note(const char* event, upstream_id upstream, const char* reason);
+
+    service_id service_;
+    health_limits limits_;
+    std::map<upstream_id, state_of_one> known_;
+    std::uint64_t contradictions_{0};
+    std::vector<traffic_note> notes_;
+};
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/tests/traffic/admission_test.cpp
@@ -0,0 +1,357 @@
+#include "traffic_fixture.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+namespace boragestand::coordination
+{
+
+namespace
+{
+
+using protocol::request_class;
+using namespace std::chrono_literals;
+
+bool is_placed(const admission& decision)
+{
+    return std::holds_alternative<placed>(decision);
+}
+
+wall_time wall(int milliseconds)
+{
+    return wall_time(std::chrono::milliseconds(milliseconds));
+}
+
+std::vector<hold_outcome> poll(traffic_policy& policy, int now)
+{
+    return policy.poll(at(now), wall(now));
+}
+
+// Fills every slot of the service with flows numbered from first.
+void fill(traffic_policy& policy, std::uint64_t first, unsigned slots, int now)
+{
+    for (unsigned count = 0; count < slots; ++count)
+    {
+        ASSERT_TRUE(
+            is_placed(policy.admit(arrival_of(first + count), at(now))));
+    }
+}
+
+state::refusal_agreement agreement_for(const std::string& rule,
+                                       std::uint32_t limit = 100,
+                                       int expires = 600000)
+{
+    return {11, "director", test_service, rule, limit, wall(expires)};
+}
+
+state::rule refuse_rule()
+{
+    state::rule rule;
+    rule.name = "far-callers";
+    rule.service = test_service;
+    rule.source_address = 0x0a090000;
+    rule.source_prefix_length = 16;
+    rule.action = state::rule_action::refuse;
+    return rule;
+}
+
+flow_arrival far_arrival(std::uint64_t flow_hash)
+{
+    auto arrival = arrival_of(flow_hash);
+    arrival.caller_address = 0x0a090107;
+    return arrival;
+}
+
+} // namespace
+
+// Guards against a queue that lets long work go first or starves it.
+TEST(hold_queue, releases_short_work_first_and_aged_work_in_order)
+{
+    auto policy = policy_with(1);
+    fill(policy, 1, 2, 0);
+    for (const auto& [flow, work] : {std::pair(10, request_class::long_work),
+                                     std::pair(11, request_class::short_work),
+                                     std::pair(12, request_class::short_work)})
+    {
+        EXPECT_TRUE(std::holds_alternative<held>(
+            policy.admit(arrival_of(flow, work), at(flow))));
+    }
+    const auto release = [&policy](std::uint64_t ended, int now)
+    {
+        policy.note(evidence_of(ended, id_of(0), flow_ended{}), at(now));
+        const auto outcomes = poll(policy, now);
+        return outcomes.size() == 1 ? outcomes[0].flow_hash : 0;
+    };
+    EXPECT_EQ(release(1, 100), 11u);
+    // The long flow has waited longer than the aging limit of two seconds.
+    policy.note(evidence_of(11, id_of(0), flow_progressed{}), at(950));
+    for (int now = 1000; now <= 2050; now += 150)
+    {
+        policy.note(evidence_of(2, id_of(0), flow_progressed{}), at(now));
+        policy.note(evidence_of(11, id_of(0), flow_progressed{}), at(now));
+    }
+    EXPECT_EQ(release(2, 2100), 10u);
+    EXPECT_EQ(release(11, 2110), 12u);
+}
+
+// Guards against new short flows that overtake those that wait, and against a
+// queue without a bound.
+TEST(hold_queue, is_bounded_and_lets_no_new_flow_overtake)
+{
+    auto configuration = configuration_of();
+    configuration.services[0].hold_capacity = 2;
+    auto policy = policy_with(1, configuration);
+    fill(policy, 1, 2, 0);
+    EXPECT_EQ(policy.admit(arrival_of(3), at(1)), admission(held{}));
+    policy.note(evidence_of(1, id_of(0), flow_ended{}), at(2));
+    EXPECT_EQ(policy.admit(arrival_of(4), at(3)), admission(held{}));
+    EXPECT_EQ(policy.admit(arrival_of(5), at(3)),
+              admission(dropped{drop_reason::hold_queue_full}));
+    const auto outcomes = poll(policy, 4);
+    ASSERT_EQ(outcomes.size(), 1u);
+    EXPECT_EQ(outcomes[0].flow_hash, 3u);
+}
+
+// Guards against a cancelled request that runs nevertheless, which would make
+// the statement that it was not run untrue.
+TEST(hold_queue, never_releases_a_cancelled_flow)
+{
+    auto policy = policy_with(1);
+    fill(policy, 1, 2, 0);
+    policy.admit(arrival_of(3), at(1));
+    policy.admit(arrival_of(4), at(1));
+    EXPECT_TRUE(policy.cancel({3}));
+    EXPECT_FALSE(policy.cancel({3}));
+    EXPECT_FALSE(policy.cancel({1}));
+    policy.note(evidence_of(1, id_of(0), flow_ended{}), at(5));
+    policy.note(evidence_of(2, id_of(0), flow_ended{}), at(5));
+    const auto outcomes = poll(policy, 6);
+    ASSERT_EQ(outcomes.size(), 1u);
+    EXPECT_EQ(outcomes[0].flow_hash, 4u);
+    EXPECT_TRUE(poll(policy, 20000).empty());
+}
+
+// Guards against flows that wait for ever, and against a refusal of a flow that
+// found no slot without an agreement that covers exactly this.
+TEST(hold_queue, drops_past_the_limit_and_refuses_only_by_agreement)
+{
+    struct expiry_case
+    {
+        const char* name;
+        std::vector<state::refusal_agreement> agreements;
+        admission expected;
+    };
+    auto other_service = agreement_for("");
+    other_service.service = service_id{8};
+    const admission drop = dropped{drop_reason::hold_expired};
+    const std::vector<expiry_case> cases{
+        {"no agreement", {}, drop},
+        {"valid", {agreement_for("")}, refused{11}},
+        {"expired", {agreement_for("", 100, 4000)}, drop},
+        {"for a rule", {agreement_for("far-callers")}, drop},
+        {"for another service", {other_service}, drop},
+        {"used up", {agreement_for("", 0)}, drop},
+    };
+    for (const auto& item : cases)
+    {
+        SCOPED_TRACE(item.name);
+        auto configuration = configuration_of();
+        configuration.services[0].short_limit_ms = 60000;
+        configuration.agreements = item.agreements;
+        auto policy = policy_with(1, configuration);
+        fill(policy, 1, 2, 0);
+        policy.admit(arrival_of(3), at(0));
+        EXPECT_TRUE(poll(policy, 4999).empty());
+        const auto outcomes = poll(policy, 5000);
+        ASSERT_EQ(outcomes.size(), 1u);
+        EXPECT_EQ(outcomes[0].decision, item.expected);
+    }
+}
+
+// Guards against refuse rules that act without an agreement, and against an
+// agreement that is used more often than it allows within any minute.
+TEST(director_gate, lets_a_refuse_rule_act_only_within_its_agreement)
+{
+    auto configuration = configuration_of();
+    configuration.rules = {refuse_rule()};
+    auto policy = policy_with(4, configuration);
+    EXPECT_TRUE(is_placed(policy.admit(far_arrival(1), at(0))));
+
+    configuration.revision = 2;
+    configuration.agreements = {agreement_for("far-callers", 2, 70000)};
+    put(policy, configuration, at(10));
+    EXPECT_TRUE(is_placed(policy.admit(arrival_of(2), at(10))));
+    EXPECT_EQ(policy.admit(far_arrival(3), at(50)), admission(refused{11}));
+    EXPECT_EQ(policy.admit(far_arrival(4), at(59000)), admission(refused{11}));
+    EXPECT_TRUE(is_placed(policy.admit(far_arrival(5), at(60040))));
+    EXPECT_EQ(policy.admit(far_arrival(6), at(60060)), admission(refused{11}));
+    policy.note(evidence_of(5, id_of(0), flow_ended{}), at(60070));
+    EXPECT_TRUE(is_placed(policy.admit(far_arrival(7), at(130000))));
+}
+
+// Guards against a director who is woken for each flow, or not at all after a
+// lost request, or not again in a later episode.
+TEST(director_gate, wakes_the_director_once_for_each_episode)
+{
+    auto policy = policy_with(1);
+    fill(policy, 1, 2, 0);
+    policy.note(evidence_of(1, id_of(0), flow_progressed{}), at(10));
+    for (std::uint64_t flow = 3; flow < 20; ++flow)
+    {
+        policy.admit(arrival_of(flow), at(20));
+    }
+    const auto run_slots = [&policy](int until)
+    {
+        for (int now = 100; now <= until; now += 100)
+        {
+            policy.note(evidence_of(1, id_of(0), flow_progressed{}), at(now));
+            policy.note(evidence_of(2, id_of(0), flow_progressed{}), at(now));
+            poll(policy, now);
+        }
+    };
+    run_slots(2400);
+    EXPECT_TRUE(policy.director_requests(at(2400)).empty());
+    run_slots(2600);
+    const auto first = policy.director_requests(at(2600));
+    ASSERT_EQ(first.size(), 1u);
+    EXPECT_TRUE(policy.director_requests(at(2700)).empty());
+    EXPECT_EQ(policy.director_requests(at(4600)), first);
+    policy.director_acknowledged(test_service, first[0].episode + 1);
+    EXPECT_EQ(policy.director_requests(at(6600)), first);
+    policy.director_acknowledged(test_service, first[0].episode);
+    EXPECT_TRUE(policy.director_requests(at(9000)).empty());
+
+    poll(policy, 10000); // the held flows expire, the last pressure
+    poll(policy, 50000); // the episode ends
+    fill(policy, 100, 2, 50000);
+    policy.admit(arrival_of(103), at(50000));
+    policy.note(evidence_of(100, id_of(0), flow_progressed{}), at(50900));
+    for (int now = 50100; now < 53000; now += 100)
+    {
+        policy.note(evidence_of(100, id_of(0), flow_progressed{}), at(now));
+        policy.note(evidence_of(101, id_of(0), flow_progressed{}), at(now));
+        poll(policy, now);
+    }
+    const auto second = policy.director_requests(at(53000));
+    ASSERT_EQ(second.size(), 1u);
+    EXPECT_NE(second[0].episode, first[0].episode);
+}
+
+// Guards against a share rule that lets its flows take more slots than their
+// part, and against one whose waiting flows block those of other callers.
+TEST(share_rule, bounds_its_flows_and_blocks_no_others)
+{
+    auto configuration = configuration_of();
+    auto rule = refuse_rule();
+    rule.action = state::rule_action::share;
+    rule.share_percent = 25;
+    configuration.rules = {rule};
+    auto policy = policy_with(8, configuration); // 16 slots, 4 for the share
+    unsigned taken = 0;
+    for (std::uint64_t flow = 1; flow <= 10; ++flow)
+    {
+        taken += is_placed(policy.admit(far_arrival(flow), at(0))) ? 1 : 0;
+    }
+    EXPECT_EQ(taken, 4u);
+    for (std::uint64_t flow = 20; flow < 32; ++flow)
+    {
+        EXPECT_TRUE(is_placed(policy.admit(arrival_of(flow), at(1))));
+    }
+    // With a peer that places too, this owner has half of the share.
+    policy.apply(instance_id{2}, protocol::load_report{}, at(2));
+    policy.note(evidence_of(1, id_of(0), flow_ended{}), at(3));
+    policy.note(evidence_of(2, id_of(0), flow_ended{}), at(3));
+    EXPECT_TRUE(poll(policy, 4).empty());
+}
+
+// Guards against slots that a lost end of a flow blocks for ever, and against
+// long silence that frees the slot of a download in progress.
+TEST(running_flows, frees_the_slot_of_a_flow_without_progress)
+{
+    auto policy = policy_with(1);
+    fill(policy, 1, 2, 0);
+    policy.admit(arrival_of(3), at(0));
+    policy.admit(arrival_of(4), at(0));
+    for (int now = 100; now <= 900; now += 100)
+    {
+        policy.note(evidence_of(1, id_of(0), flow_progressed{}), at(now));
+        EXPECT_TRUE(poll(policy, now).empty());
+    }
+    policy.note(evidence_of(1, id_of(0), flow_progressed{}), at(1050));
+    const auto silent = poll(policy, 1100);
+    ASSERT_EQ(silent.size(), 1u); // flow 2 never showed an answer
+    const auto paused = poll(policy, 1300);
+    ASSERT_EQ(paused.size(), 1u); // flow 1 stopped at 1050 ms
+    EXPECT_EQ(policy.report(at(1300)).loads[0].open, 4u);
+}
+
+// Guards against a service with many idle connections whose new flows are held
+// because its slots look taken.
+TEST(running_flows, slots_do_not_bind_where_flows_are_mostly_idle)
+{
+    auto policy = policy_with(4);
+    std::uint64_t flow = 0;
+    int held_late = 0;
+    for (int now = 0; now < 20000; now += 10)
+    {
+        const auto decision = policy.admit(arrival_of(++flow), at(now));
+        held_late += now > 3000 && !is_placed(decision) ? 1 : 0;
+        poll(policy, now);
+    }
+    EXPECT_EQ(held_late, 0);
+    for (const auto& load : policy.report(at(20000)).loads)
+    {
+        EXPECT_GT(load.open, 300u);
+    }
+}
+
+// Guards against any refusal that no valid agreement covers, over random
+// configurations, loads and times.
+RC_GTEST_PROP(director_gate, refuses_only_under_a_valid_agreement, ())
+{
+    auto configuration = configuration_of();
+    configuration.services[0].hold_limit_ms = *rc::gen::inRange(1u, 3000u);
+    configuration.services[0].hold_capacity = *rc::gen::inRange(0u, 8u);
+    configuration.rules = {refuse_rule()};
+    const auto limit = *rc::gen::inRange(0u, 4u);
+    const int expires = *rc::gen::inRange(0, 20000);
+    const bool for_rule = *rc::gen::arbitrary<bool>();
+    if (*rc::gen::arbitrary<bool>())
+    {
+        configuration.agreements = {
+            agreement_for(for_rule ? "far-callers" : "", limit, expires)};
+    }
+    auto policy = policy_with(*rc::gen::inRange(0u, 3u), configuration);
+    std::vector<int> refusals;
+    const auto check = [&](const admission& decision, bool held_first, int now)
+    {
+        if (!std::holds_alternative<refused>(decision))
+        {
+            return;
+        }
+        refusals.push_back(now);
+        RC_ASSERT(!configuration.agreements.empty());
+        RC_ASSERT(now < expires);
+        RC_ASSERT(for_rule != held_first);
+    };
+    int now = 0;
+    for (std::uint64_t flow = 1; flow < 60; ++flow)
+    {
+        now += *rc::gen::inRange(0, 800);
+        const bool far = *rc::gen::arbitrary<bool>();
+        const auto arrival = far ? far_arrival(flow) : arrival_of(flow);
+        check(policy.admit(arrival, at(now)), false, now);
+        for (const auto& outcome : poll(policy, now))
+        {
+            check(outcome.decision, true, now);
+        }
+    }
+    for (std::size_t last = limit; last < refusals.size(); ++last)
+    {
+        RC_ASSERT(refusals[last] - refusals[last - limit] >= 60000);
+    }
+}
+
+} // namespace boragestand::coordination
