Add flow table and pin table

The router needs flows by key in at most 96 bytes each and the pins that it keeps for others. Records of 56 bytes lie in fixed blocks and an open-addressing index of 8 bytes an entry grows a few entries at a time. Keeping the records in the index itself was ruled out: while it doubles it would need more than 160 bytes a flow.

--- /dev/null
+++ b/src/state/flow_record.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "protocol/protocol.hpp"
+
+#include <array>
+#include <cstdint>
+
+namespace boragestand::state
+{
+
+/// Stage of a flow at its owner.
+enum class flow_state : std::uint8_t
+{
+    free,          ///< the record holds no flow
+    waiting,       ///< in the hold queue
+    awaiting_pin,  ///< placed, first datagram waits for the backup
+    opening,       ///< first packet passed on, nothing heard since
+    established,   ///< the caller confirmed that the upstream answered
+    closing,       ///< FIN or RST seen, kept for late packets
+    moved          ///< another instance owns it, kept for late packets
+};
+
+/// What the owner of a flow keeps about it. Times are milliseconds of the
+/// router's clock and wrap around after 49 days; compare their differences.
+struct flow_record
+{
+    std::uint64_t hash{0};
+    std::uint32_t caller_address{0};
+    std::uint32_t destination_address{0};
+    std::uint16_t caller_port{0};
+    std::uint16_t destination_port{0};
+    service_id service;
+    std::uint32_t upstream{0}; ///< entry of the upstream address list
+    std::uint32_t opened_ms{0};
+    std::uint32_t last_packet_ms{0};
+    std::uint32_t acknowledgement{0};
+    std::uint32_t first_sequence{0}; ///< of the SYN, 0 if it was not seen
+    protocol::ip_protocol protocol{protocol::ip_protocol::tcp};
+    flow_state state{flow_state::free};
+    protocol::request_class work{protocol::request_class::unspecified};
+    std::uint8_t repeated_syns{0};
+    /// Position in the member list plus one of the instances that were sent a
+    /// pin; 0 for none.
+    std::array<std::uint8_t, 2> backups{};
+    bool has_data : 1 {false};    ///< data from the caller was passed on
+    bool exception : 1 {false};   ///< not at its settled default
+    bool is_long : 1 {false};     ///< open beyond the service's short limit
+    bool progressed : 1 {false};  ///< the caller acknowledged answer bytes
+    bool end_noted : 1 {false};   ///< placement was told that it is over
+    bool queued : 1 {false};      ///< waits for the pin budget
+    bool first_acked : 1 {false}; ///< backups[0] confirmed the pin
+    bool second_acked : 1 {false}; ///< backups[1] confirmed the pin
+    bool transferring : 1 {false}; ///< part of an unconfirmed hand-over batch
+    bool has_request : 1 {false};  ///< a request identity refers to it
+    bool finished : 1 {false};     ///< the caller sent FIN
+
+    /// The key of the flow.
+    protocol::flow_key key() const
+    {
+        return {service,
+                {caller_address, caller_port},
+                {destination_address, destination_port},
+                protocol};
+    }
+
+    /// Whether the record is about this flow.
+    bool is(const protocol::flow_key& other) const
+    {
+        return caller_address == other.caller.address &&
+               caller_port == other.caller.port && service == other.service &&
+               destination_address == other.destination.address &&
+               destination_port == other.destination.port &&
+               protocol == other.protocol;
+    }
+};
+
+static_assert(sizeof(flow_record) <= 56);
+
+} // namespace boragestand::state
--- /dev/null
+++ b/src/state/flow_table.cpp
@@ -0,0 +1,250 @@
+#include "state/flow_table.hpp"
+
+#include <new>
+
+namespace boragestand::state
+{
+
+namespace
+{
+
+constexpr std::size_t first_index_size = 4096;
+/// Entries moved with each insertion while the index grows. The new index has
+/// room for as many insertions as the old one held, so 4 would be enough; 32
+/// bounds the time during which both exist.
+constexpr std::size_t entries_per_move = 32;
+
+bool too_full(std::size_t used, std::size_t size)
+{
+    return used * 8 > size * 7;
+}
+
+std::uint32_t tag_of(std::uint64_t hash)
+{
+    return static_cast<std::uint32_t>(hash);
+}
+
+} // namespace
+
+flow_table::flow_table(std::size_t capacity)
+    : capacity_(capacity), index_(make_index(first_index_size))
+{
+    blocks_.reserve(capacity / block_size + 1);
+}
+
+flow_table::flow_index flow_table::make_index(std::size_t size)
+{
+    // Zeroed pages come from the kernel on first use, so a large index costs
+    // no pause here.
+    auto* entries =
+        static_cast<index_entry*>(std::calloc(size, sizeof(index_entry)));
+    if (entries == nullptr)
+    {
+        throw std::bad_alloc();
+    }
+    return {std::unique_ptr<index_entry[], release_memory>(entries), size};
+}
+
+void flow_table::prefetch(std::uint64_t hash) const
+{
+    __builtin_prefetch(&index_.entries[tag_of(hash) & index_.mask()]);
+}
+
+flow_slot flow_table::find(const protocol::flow_key& key,
+                           std::uint64_t hash) const
+{
+    const flow_slot found = find_in(index_, key, hash);
+    if (found != no_flow || old_index_.size == 0)
+    {
+        return found;
+    }
+    return find_in(old_index_, key, hash);
+}
+
+flow_slot flow_table::find_in(const flow_index& index,
+                              const protocol::flow_key& key,
+                              std::uint64_t hash) const
+{
+    const std::uint32_t tag = tag_of(hash);
+    std::size_t position = tag & index.mask();
+    while (index.entries[position].reference != 0)
+    {
+        const index_entry entry = index.entries[position];
+        if (entry.tag == tag && entry.reference != passed_reference)
+        {
+            const flow_record& record = (*this)[entry.reference - 1];
+            if (record.hash == hash && record.is(key))
+            {
+                return entry.reference - 1;
+            }
+        }
+        position = (position + 1) & index.mask();
+    }
+    return no_flow;
+}
+
+flow_slot flow_table::insert(const protocol::flow_key& key, std::uint64_t hash)
+{
+    if (size_ >= capacity_)
+    {
+        return no_flow;
+    }
+    grow_if_needed();
+    move_entries(entries_per_move);
+    const flow_slot slot = take_slot();
+    flow_record& record = (*this)[slot];
+    record = flow_record{};
+    record.hash = hash;
+    record.caller_address = key.caller.address;
+    record.caller_port = key.caller.port;
+    record.destination_address = key.destination.address;
+    record.destination_port = key.destination.port;
+    record.service = key.service;
+    record.protocol = key.protocol;
+    record.state = flow_state::opening;
+    place(index_, {tag_of(hash), slot + 1});
+    ++size_;
+    return slot;
+}
+
+void flow_table::place(flow_index& index, index_entry entry)
+{
+    std::size_t position = entry.tag & index.mask();
+    while (index.entries[position].reference != 0)
+    {
+        position = (position + 1) & index.mask();
+    }
+    index.entries[position] = entry;
+}
+
+std::size_t flow_table::position_of(const flow_index& index, flow_slot slot,
+                                    std::uint32_t tag) const
+{
+    if (index.size == 0)
+    {
+        return 0;
+    }
+    std::size_t position = tag & index.mask();
+    while (index.entries[position].reference != 0)
+    {
+        if (index.entries[position].reference == slot + 1)
+        {
+            return position;
+        }
+        position = (position + 1) & index.mask();
+    }
+    return index.size;
+}
+
+void flow_table::erase(flow_slot slot)
+{
+    flow_record& record = (*this)[slot];
+    const std::uint32_t tag = tag_of(record.hash);
+    const std::size_t position = position_of(index_, slot, tag);
+    if (position != index_.size)
+    {
+        remove_at(position);
+    }
+    else
+    {
+        const std::size_t old = position_of(old_index_, slot, tag);
+        old_index_.entries[old].reference = passed_reference;
+    }
+    record.state = flow_state::free;
+    record.hash = first_free_;
+    first_free_ = slot;
+    --size_;
+}
+
+void flow_table::remove_at(std::size_t position)
+{
+    // Moves later entries of the same run back, so no mark of the removed one
+    // has to stay.
+    std::size_t hole = position;
+    std::size_t next = (hole + 1) & index_.mask();
+    while (index_.entries[next].reference != 0)
+    {
+        const std::size_t home = index_.entries[next].tag & index_.mask();
+        const std::size_t from_home = (next - home) & index_.mask();
+        const std::size_t from_hole = (next - hole) & index_.mask();
+        if (from_home >= from_hole)
+        {
+            index_.entries[hole] = index_.entries[next];
+            hole = next;
+        }
+        next = (next + 1) & index_.mask();
+    }
+    index_.entries[hole] = index_entry{0, 0};
+}
+
+void flow_table::clear()
+{
+    index_ = make_index(first_index_size);
+    old_index_ = flow_index{};
+    blocks_.clear();
+    moved_ = 0;
+    size_ = 0;
+    slot_count_ = 0;
+    first_free_ = no_flow;
+}
+
+bool flow_table::holds(flow_slot slot, std::uint64_t hash) const
+{
+    return slot < slot_count_ && (*this)[slot].state != flow_state::free &&
+           (*this)[slot].hash == hash;
+}
+
+std::size_t flow_table::memory_bytes() const
+{
+    return blocks_.size() * block_size * sizeof(flow_record) +
+           blocks_.capacity() * sizeof(blocks_[0]) +
+           (index_.size + old_index_.size) * sizeof(index_entry);
+}
+
+void flow_table::grow_if_needed()
+{
+    if (!too_full(size_ + 1, index_.size))
+    {
+        return;
+    }
+    move_entries(old_index_.size);
+    old_index_ = std::move(index_);
+    index_ = make_index(old_index_.size * 2);
+    moved_ = 0;
+}
+
+void flow_table::move_entries(std::size_t count)
+{
+    for (; count > 0 && moved_ < old_index_.size; --count, ++moved_)
+    {
+        index_entry& entry = old_index_.entries[moved_];
+        if (entry.reference == 0 || entry.reference == passed_reference)
+        {
+            continue;
+        }
+        place(index_, entry);
+        entry.reference = passed_reference;
+    }
+    if (moved_ >= old_index_.size && old_index_.size != 0)
+    {
+        old_index_ = flow_index{};
+        moved_ = 0;
+    }
+}
+
+flow_slot flow_table::take_slot()
+{
+    if (first_free_ != no_flow)
+    {
+        const flow_slot slot = first_free_;
+        first_free_ = static_cast<flow_slot>((*this)[slot].hash);
+        return slot;
+    }
+    if (slot_count_ % block_size == 0)
+    {
+        blocks_.push_back(std::make_unique<flow_record[]>(block_size));
+    }
+    return slot_count_++;
+}
+
+} // namespace boragestand::state
--- /dev/null
+++ b/src/state/flow_table.hpp
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "state/flow_record.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <memory>
+#include <vector>
+
+namespace boragestand::state
+{
+
+/// Position of a record, constant while it is held.
+using flow_slot = std::uint32_t;
+
+/// No record.
+constexpr flow_slot no_flow = 0xffffffff;
+
+/// Flows by key. The records lie in blocks that never move; an open-addressing
+/// index of 8 bytes an entry points at them. The index doubles by moving a few
+/// entries with each insertion, so no single operation is long.
+class flow_table
+{
+public:
+    /// capacity is the largest number of flows.
+    explicit flow_table(std::size_t capacity);
+
+    /// The slot of a flow, or no_flow.
+    flow_slot find(const protocol::flow_key& key, std::uint64_t hash) const;
+
+    /// Starts the fetch of the index entry of a flow into the cache.
+    void prefetch(std::uint64_t hash) const;
+
+    /// A new record for a flow that is not held, or no_flow if the table is
+    /// full.
+    flow_slot insert(const protocol::flow_key& key, std::uint64_t hash);
+
+    /// Removes a held flow.
+    void erase(flow_slot slot);
+
+    /// Removes all flows.
+    void clear();
+
+    /// The record of a slot.
+    flow_record& operator[](flow_slot slot)
+    {
+        return blocks_[slot / block_size][slot % block_size];
+    }
+    const flow_record& operator[](flow_slot slot) const
+    {
+        return blocks_[slot / block_size][slot % block_size];
+    }
+
+    /// Whether the slot still holds the flow with this hash.
+    bool holds(flow_slot slot, std::uint64_t hash) const;
+
+    /// Flows held.
+    std::size_t size() const { return size_; }
+
+    /// Slots in use at some time; slots below this can be visited.
+    flow_slot slot_count() const { return slot_count_; }
+
+    /// Memory of records and index in bytes.
+    std::size_t memory_bytes() const;
+
+    /// Calls visit(slot) for the held flows among the next `count` slots after
+    /// the cursor and moves the cursor on; wraps to 0 at the end. The visitor
+    /// may erase the flow that it is given.
+    template <typename Visitor>
+    void visit_next(flow_slot& cursor, std::size_t count, Visitor visit)
+    {
+        for (std::size_t done = 0; done < count; ++done)
+        {
+            if (cursor >= slot_count_)
+            {
+                cursor = 0;
+                return;
+            }
+            const flow_slot slot = cursor++;
+            if ((*this)[slot].state != flow_state::free)
+            {
+                visit(slot);
+            }
+        }
+    }
+
+private:
+    static constexpr flow_slot block_size = 1024;
+    /// Reference of an index entry whose flow was moved or removed while the
+    /// index grows; a search goes on past it.
+    static constexpr std::uint32_t passed_reference = 0xffffffff;
+
+    struct index_entry
+    {
+        std::uint32_t tag;       ///< low half of the hash
+        std::uint32_t reference; ///< slot plus one, or 0 if empty
+    };
+
+    struct release_memory
+    {
+        void operator()(index_entry* entries) const { std::free(entries); }
+    };
+
+    struct flow_index
+    {
+        std::unique_ptr<index_entry[], release_memory> entries;
+        std::size_t size{0};
+
+        std::size_t mask() const { return size - 1; }
+    };
+
+    static flow_index make_index(std::size_t size);
+    flow_slot find_in(const flow_index& index, const protocol::flow_key& key,
+                      std::uint64_t hash) const;
+    std::size_t position_of(const flow_index& index, flow_slot slot,
+                            std::uint32_t tag) const;
+    static void place(flow_index& index, index_entry entry);
+    void remove_at(std::size_t position);
+    void grow_if_needed();
+    void move_entries(std::size_t count);
+    flow_slot take_slot();
+
+    std::size_t capacity_;
+    std::size_t size_{0};
+    flow_slot slot_count_{0};
+    flow_slot first_free_{no_flow};
+    std::vector<std::unique_ptr<flow_record[]>> blocks_;
+    flow_index index_;
+    flow_index old_index_; ///< being emptied into index_
+    std::size_t moved_{0}; ///< entries of old_index_ that are done
+};
+
+} // namespace boragestand::state
--- /dev/null
+++ b/src/state/pin_table.cpp
@@ -0,0 +1,162 @@
+#include "state/pin_table.hpp"
+
+#include <algorithm>
+
+namespace boragestand::state
+{
+
+namespace
+{
+
+/// Pins of a sender that started again are kept this long for its old flows.
+constexpr duration restart_expiry = std::chrono::seconds(300);
+/// An incarnation is the start of a process in milliseconds; refutations raise
+/// it by one each, a new process by more than this.
+constexpr std::uint64_t restart_gap = 1000;
+/// Batches out of order that are remembered for one sender.
+constexpr std::size_t max_taken = 1024;
+
+} // namespace
+
+bool pin_table::take_sequence(sender_pins& sender, std::uint32_t sequence)
+{
+    if (sequence < sender.taken_below || sender.taken.contains(sequence))
+    {
+        return false;
+    }
+    sender.taken.insert(sequence);
+    while (sender.taken.contains(sender.taken_below) ||
+           sender.taken.size() > max_taken)
+    {
+        sender.taken.erase(sender.taken_below++);
+    }
+    return true;
+}
+
+bool pin_table::accept_incarnation(instance_id sender,
+                                   std::uint64_t incarnation, time_point now)
+{
+    sender_pins& known = senders_[sender];
+    if (incarnation < known.incarnation)
+    {
+        return false;
+    }
+    if (incarnation < known.incarnation + restart_gap)
+    {
+        known.incarnation = incarnation;
+        return true;
+    }
+    orphan(sender, now + restart_expiry);
+    known = sender_pins{incarnation, 1, {}, {}};
+    return true;
+}
+
+bool pin_table::apply(instance_id sender, std::uint64_t incarnation,
+                      const protocol::pin_batch& batch, time_point now)
+{
+    if (size_ + batch.added.size() > capacity_)
+    {
+        return false;
+    }
+    if (!accept_incarnation(sender, incarnation, now))
+    {
+        return false;
+    }
+    if (!take_sequence(senders_[sender], batch.sequence))
+    {
+        return true;
+    }
+    for (const auto& pin : batch.added)
+    {
+        keep(sender, pin, now);
+    }
+    for (const std::uint64_t flow_hash : batch.removed)
+    {
+        erase_from(senders_[sender].pins, flow_hash);
+        erase_orphans(flow_hash);
+    }
+    return true;
+}
+
+void pin_table::keep(instance_id sender, const protocol::flow_pin& pin,
+                     time_point now)
+{
+    auto& pins = senders_[sender].pins;
+    const kept_pin kept{pin.service, pin.upstream, now};
+    size_ += pins.insert_or_assign(pin.flow_hash, kept).second ? 1 : 0;
+}
+
+std::optional<upstream_id> pin_table::find(std::uint64_t flow_hash,
+                                           service_id service) const
+{
+    std::optional<kept_pin> best;
+    const auto consider = [&](const pin_map& pins)
+    {
+        const auto found = pins.find(flow_hash);
+        if (found == pins.end() || found->second.service != service)
+        {
+            return;
+        }
+        if (!best || best->received < found->second.received)
+        {
+            best = found->second;
+        }
+    };
+    for (const auto& [id, sender] : senders_)
+    {
+        consider(sender.pins);
+    }
+    for (const auto& [expiry, pins] : orphans_)
+    {
+        consider(pins);
+    }
+    return best ? std::optional(best->upstream) : std::nullopt;
+}
+
+void pin_table::erase(std::uint64_t flow_hash)
+{
+    for (auto& [id, sender] : senders_)
+    {
+        erase_from(sender.pins, flow_hash);
+    }
+    erase_orphans(flow_hash);
+}
+
+void pin_table::orphan(instance_id sender, time_point expiry)
+{
+    const auto found = senders_.find(sender);
+    if (found == senders_.end())
+    {
+        return;
+    }
+    if (!found->second.pins.empty())
+    {
+        orphans_.emplace(expiry, std::move(found->second.pins));
+    }
+    // The batch numbers stay: a sender that was only cut off goes on counting.
+    found->second.pins.clear();
+}
+
+void pin_table::expire(time_point now)
+{
+    while (!orphans_.empty() && orphans_.begin()->first <= now)
+    {
+        size_ -= orphans_.begin()->second.size();
+        orphans_.erase(orphans_.begin());
+    }
+}
+
+void pin_table::erase_from(pin_map& pins, std::uint64_t flow_hash)
+{
+    size_ -= pins.erase(flow_hash);
+}
+
+void pin_table::erase_orphans(std::uint64_t flow_hash)
+{
+    for (auto& [expiry, pins] : orphans_)
+    {
+        erase_from(pins, flow_hash);
+    }
+}
+
+} // namespace boragestand::state
--- /dev/null
+++ b/src/state/pin_table.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "protocol/protocol.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace boragestand::state
+{
+
+/// Pins that this instance keeps as backup for other instances. Pins of a
+/// sender that died are kept as orphans until a flow is adopted by them or a
+/// time has passed.
+class pin_table
+{
+public:
+    /// capacity bounds the pins of all senders together.
+    explicit pin_table(std::size_t capacity) : capacity_(capacity) {}
+
+    /// Takes a batch. A batch that was taken before is skipped, so a delayed
+    /// copy cannot bring back a pin that has been removed. Returns whether the
+    /// batch may be acknowledged.
+    bool apply(instance_id sender, std::uint64_t incarnation,
+               const protocol::pin_batch& batch, time_point now);
+
+    /// Keeps a pin as if the sender had sent it.
+    void keep(instance_id sender, const protocol::flow_pin& pin,
+              time_point now);
+
+    /// The newest pin of a flow, of whatever sender.
+    std::optional<upstream_id> find(std::uint64_t flow_hash,
+                                    service_id service) const;
+
+    /// Removes all pins of a flow.
+    void erase(std::uint64_t flow_hash);
+
+    /// Makes the pins of a dead sender orphans, which expire at this time.
+    void orphan(instance_id sender, time_point expiry);
+
+    /// Drops orphans whose time is over; cheap when none is.
+    void expire(time_point now);
+
+    /// Pins held.
+    std::size_t size() const { return size_; }
+
+private:
+    struct kept_pin
+    {
+        service_id service;
+        upstream_id upstream;
+        time_point received;
+    };
+    using pin_map = std::unordered_map<std::uint64_t, kept_pin>;
+
+    struct sender_pins
+    {
+        std::uint64_t incarnation{0};
+        std::uint32_t taken_below{1}; ///< all batches before this were taken
+        std::set<std::uint32_t> taken; ///< later ones that were taken
+        pin_map pins;
+    };
+
+
+    bool accept_incarnation(instance_id sender, std::uint64_t incarnation,
+                            time_point now);
+    static bool take_sequence(sender_pins& sender, std::uint32_t sequence);
+    void erase_from(pin_map& pins, std::uint64_t flow_hash);
+    void erase_orphans(std::uint64_t flow_hash);
+
+    std::size_t capacity_;
+    std::size_t size_{0};
+    std::map<instance_id, sender_pins> senders_;
+    std::multimap<time_point, pin_map> orphans_; ///< by expiry
+};
+
+} // namespace boragestand::state
--- a/src/state/state.hpp
+++ b/src/state/state.hpp
@@ -4,3 +4,5 @@
 /// tables and files that hold the state of a process.
 
 #include "state/configuration.hpp"
+#include "state/flow_table.hpp"
+#include "state/pin_table.hpp"
