--- /dev/null
+++ b/src/coordination/flow_sweep.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "coordination/flow_lifecycle.hpp"
+
+namespace boragestand::coordination
+{
+
+/// Visits a part of the flow table with each tick: ends idle flows, offers
+/// flows to new owners, moves pins to new backups and settles new default sets.
+class flow_sweep
+{
+public:
+    flow_sweep(router_state& state, flow_lifecycle& lifecycle)
+        : state_(state), lifecycle_(lifecycle)
+    {
+    }
+
+    /// Visits the next part.
+    void tick(time_point now);
+
+    /// Starts to pin all exceptions again, since others may have given up the
+    /// pins.
+    void repin_all();
+
+private:
+    /// Whether the flow was removed.
+    bool end_if_over(state::flow_slot slot, time_point now);
+    void visit(state::flow_slot slot, time_point now);
+    void check_pins(state::flow_slot slot, time_point now);
+    void check_owner(state::flow_slot slot, time_point now);
+    void settle(time_point now);
+    void count_flows(time_point now);
+    void pin_new_exceptions(time_point now);
+    std::size_t share_of_table() const;
+
+    router_state& state_;
+    flow_lifecycle& lifecycle_;
+    state::flow_slot cursor_{0};
+    std::size_t repin_left_{0};
+
+    /// The service whose settled set is being moved, if any.
+    std::optional<service_id> moving_;
+    settled_sets::task task_{settled_sets::task::none};
+    state::flow_slot task_cursor_{0};
+    std::size_t unpinned_{0}; ///< seen in this pass over the table
+    time_point next_settle_{};
+};
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/handover.cpp
@@ -0,0 +1,141 @@
+#include "coordination/handover.hpp"
+
+#include "coordination/router_clock.hpp"
+
+#include <algorithm>
+
+namespace boragestand::coordination
+{
+
+namespace
+{
+
+/// Encoded size of a transfer in bytes, rounded up.
+constexpr double transfer_bytes = 44;
+/// Keeps a batch below max_entry_message_size.
+constexpr std::size_t max_transfers = 28;
+constexpr duration first_repeat = std::chrono::milliseconds(200);
+constexpr unsigned max_doublings = 3;
+
+} // namespace
+
+handover::handover(const router_settings& settings, state::flow_table& flows,
+                   const upstream_addresses& addresses)
+    : settings_(settings)
+    , flows_(flows)
+    , addresses_(addresses)
+    , budget_(settings.handover_bytes_per_second,
+              std::max(settings.handover_bytes_per_second / 10,
+                       transfer_bytes * max_transfers))
+{
+}
+
+bool handover::offer(flow_reference flow, instance_id successor, time_point now)
+{
+    if (settings_.faults.no_handover || !budget_.take(transfer_bytes, now))
+    {
+        return false;
+    }
+    flows_[flow.slot].transferring = true;
+    offered_[successor].push_back(flow);
+    return true;
+}
+
+void handover::tick(const membership& members, time_point now,
+                    router_effects& effects)
+{
+    for (auto& [successor, flows] : offered_)
+    {
+        for (std::size_t first = 0; first < flows.size();
+             first += max_transfers)
+        {
+            sent_batch next;
+            next.successor = successor;
+            next.sent = now;
+            next.batch.sequence = ++sequence_;
+            const auto end = std::min(flows.size(), first + max_transfers);
+            for (std::size_t index = first; index < end; ++index)
+            {
+                const flow_reference flow = flows[index];
+                if (!flows_.holds(flow.slot, flow.hash))
+                {
+                    continue;
+                }
+                const auto& record = flows_[flow.slot];
+                next.batch.flows.push_back(
+                    {record.key(), addresses_[record.upstream].upstream,
+                     ms_of(now) - record.opened_ms, record.acknowledgement,
+                     record.work, record.has_data});
+                next.flows.push_back(flow);
+            }
+            if (next.flows.empty())
+            {
+                continue;
+            }
+            effects.push_back(
+                send_to_instance{successor, members.envelope(next.batch)});
+            unconfirmed_.emplace(next.batch.sequence, std::move(next));
+        }
+        flows.clear();
+    }
+    for (auto& [sequence, sent] : unconfirmed_)
+    {
+        if (now - sent.sent >= first_repeat * (1U << sent.repeats))
+        {
+            sent.sent = now;
+            sent.repeats = std::min(sent.repeats + 1, max_doublings);
+            effects.push_back(
+                send_to_instance{sent.successor, members.envelope(sent.batch)});
+        }
+    }
+}
+
+void handover::acknowledged(instance_id from, std::uint32_t sequence,
+                            std::vector<flow_reference>& transferred)
+{
+    const auto found = unconfirmed_.find(sequence);
+    if (found == unconfirmed_.end() || found->second.successor != from)
+    {
+        return;
+    }
+    for (const flow_reference flow : found->second.flows)
+    {
+        if (flows_.holds(flow.slot, flow.hash) &&
+            flows_[flow.slot].transferring)
+        {
+            flows_[flow.slot].transferring = false;
+            transferred.push_back(flow);
+            ++flows_transferred_;
+        }
+    }
+    unconfirmed_.erase(found);
+}
+
+void handover::member_died(instance_id id)
+{
+    release(offered_[id]);
+    offered_.erase(id);
+    for (auto sent = unconfirmed_.begin(); sent != unconfirmed_.end();)
+    {
+        if (sent->second.successor != id)
+        {
+            ++sent;
+            continue;
+        }
+        release(sent->second.flows);
+        sent = unconfirmed_.erase(sent);
+    }
+}
+
+void handover::release(const std::vector<flow_reference>& flows)
+{
+    for (const flow_reference flow : flows)
+    {
+        if (flows_.holds(flow.slot, flow.hash))
+        {
+            flows_[flow.slot].transferring = false;
+        }
+    }
+}
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/handover.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "coordination/flow_events.hpp"
+#include "coordination/membership.hpp"
+#include "coordination/pin_sender.hpp"
+
+#include <map>
+#include <vector>
+
+namespace boragestand::coordination
+{
+
+/// Gives flows that another instance owns now to that instance, at a bounded
+/// rate: all flows at a planned stop, some when an instance joins.
+class handover
+{
+public:
+    handover(const router_settings& settings, state::flow_table& flows,
+             const upstream_addresses& addresses);
+
+    /// Offers a flow to its new owner. Returns false if the rate is used up;
+    /// the flow is to be offered again later.
+    bool offer(flow_reference flow, instance_id successor, time_point now);
+
+    /// Sends what was offered and repeats what was not confirmed.
+    void tick(const membership& members, time_point now,
+              router_effects& effects);
+
+    /// Takes a confirmation; appends the flows that are transferred.
+    void acknowledged(instance_id from, std::uint32_t sequence,
+                      std::vector<flow_reference>& transferred);
+
+    /// Frees the flows that were offered to a dead member.
+    void member_died(instance_id id);
+
+    /// Flows that were transferred since the start.
+    std::uint64_t flows_transferred() const { return flows_transferred_; }
+
+private:
+    struct sent_batch
+    {
+        protocol::handover_batch batch;
+        std::vector<flow_reference> flows;
+        instance_id successor;
+        time_point sent;
+        unsigned repeats{0};
+    };
+
+    void release(const std::vector<flow_reference>& flows);
+
+    const router_settings& settings_;
+    state::flow_table& flows_;
+    const upstream_addresses& addresses_;
+    token_bucket budget_;
+    std::map<instance_id, std::vector<flow_reference>> offered_;
+    std::map<std::uint32_t, sent_batch> unconfirmed_;
+    std::uint32_t sequence_{0};
+    std::uint64_t flows_transferred_{0};
+};
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/membership.cpp
@@ -0,0 +1,611 @@
+#include "coordination/membership.hpp"
+
+#include <algorithm>
+
+namespace boragestand::coordination
+{
+
+using protocol::member_state;
+using protocol::member_update;
+
+namespace
+{
+
+/// Messages that carry a change; enough for it to reach 64 members with high
+/// probability, and for 6 members it is cheap.
+constexpr unsigned gossip_copies = 8;
+/// Changes in one message, so that a probe stays below 150 bytes.
+constexpr std::size_t max_updates = 6;
+constexpr std::size_t max_broadcast = 16;
+constexpr std::size_t indirect_probes = 2;
+constexpr duration dead_probe_interval = std::chrono::seconds(2);
+constexpr duration tell_interval = std::chrono::milliseconds(100);
+constexpr duration relay_lifetime = std::chrono::seconds(1);
+
+bool supersedes(const member_update& update, const member_update& known)
+{
+    return update.incarnation != known.incarnation
+               ? update.incarnation > known.incarnation
+               : update.state > known.state;
+}
+
+bool may_own(member_state state)
+{
+    return state == member_state::alive || state == member_state::suspect;
+}
+
+} // namespace
+
+membership::membership(const router_settings& settings)
+    : settings_(settings)
+    , incarnation_(settings.incarnation)
+    , random_(mix_hashes(settings.seed, settings.self.value))
+{
+    for (const member& listed : settings.members)
+    {
+        if (listed.id != settings.self)
+        {
+            peer added;
+            added.known = {listed.id, 0, member_state::dead};
+            peers_.push_back(added);
+        }
+    }
+    std::sort(peers_.begin(), peers_.end(),
+              [](const peer& left, const peer& right)
+              { return left.known.member < right.known.member; });
+    fresh_ = peers_.empty();
+}
+
+void membership::tick(time_point now, router_effects& effects)
+{
+    if (!last_tick_)
+    {
+        last_change_ = now;
+        begin_refresh(now, settings_.suspicion_timeout, true, effects);
+    }
+    else if (now - *last_tick_ > settings_.suspicion_timeout &&
+             !settings_.faults.no_freshness)
+    {
+        paused_ = true;
+        begin_refresh(now, 2 * settings_.suspicion_timeout, false, effects);
+    }
+    last_tick_ = now;
+    check_refresh(now);
+    check_probes(now, effects);
+    check_doubts(now, effects);
+    probe_next(now, effects);
+    probe_dead(now, effects);
+}
+
+bool membership::receive(const protocol::entry_envelope& envelope,
+                         time_point now, router_effects& effects)
+{
+    if (!heard(envelope, now, effects))
+    {
+        return false;
+    }
+    if (const auto* request = std::get_if<protocol::probe>(&envelope.message))
+    {
+        for (const auto& update : request->updates)
+        {
+            take(update, now, effects);
+        }
+        answer(envelope, *request, now, effects);
+    }
+    if (const auto* acked = std::get_if<protocol::probe_ack>(&envelope.message))
+    {
+        for (const auto& update : acked->updates)
+        {
+            take(update, now, effects);
+        }
+        take_answer(envelope, *acked, effects);
+    }
+    check_refresh(now);
+    return true;
+}
+
+bool membership::heard(const protocol::entry_envelope& envelope, time_point now,
+                       router_effects& effects)
+{
+    peer* sender = find(envelope.from);
+    if (sender == nullptr)
+    {
+        return false;
+    }
+    if (envelope.incarnation > sender->known.incarnation)
+    {
+        take({envelope.from, envelope.incarnation, member_state::alive}, now,
+             effects);
+    }
+    sender->refresh_pending = false;
+    const bool doubted = sender->known.state == member_state::suspect ||
+                         sender->known.state == member_state::dead;
+    const bool earlier = envelope.incarnation < sender->known.incarnation;
+    if ((doubted || earlier) && now - sender->last_told >= tell_interval)
+    {
+        // Only the member itself can refute, by a higher incarnation.
+        sender->last_told = now;
+        send_probe(envelope.from, now, false, effects);
+    }
+    if (sender->known.state == member_state::leaving)
+    {
+        sender->doubted_since.reset();
+    }
+    // Restarted within its incarnation's millisecond or clock set back: its
+    // messages count again once it has raised its incarnation.
+    return !earlier;
+}
+
+void membership::take(const member_update& update, time_point now,
+                      router_effects& effects)
+{
+    if (update.member == settings_.self)
+    {
+        take_about_self(update, now, effects);
+        return;
+    }
+    peer* known = find(update.member);
+    if (known != nullptr && supersedes(update, known->known))
+    {
+        set_state(*known, update, now, effects);
+    }
+}
+
+void membership::take_about_self(const member_update& update, time_point now,
+                                 router_effects& effects)
+{
+    const bool refutable = update.state == member_state::suspect ||
+                           update.state == member_state::dead;
+    if (!refutable || update.incarnation < incarnation_)
+    {
+        return;
+    }
+    if (update.state == member_state::dead)
+    {
+        lost_ownership_ = lost_ownership_ || (paused_ && !fresh_);
+        declared_dead_ = true;
+    }
+    incarnation_ = update.incarnation + 1;
+    broadcast(now, effects);
+}
+
+void membership::set_state(peer& member, const member_update& update,
+                           time_point now, router_effects& effects)
+{
+    const bool was_owner = may_own(member.known.state);
+    const bool joined = member.known.state == member_state::dead;
+    member.known = update;
+    member.gossip_left = gossip_copies;
+    member.doubted_since.reset();
+    if (update.state == member_state::suspect)
+    {
+        member.doubted_since = now;
+    }
+    if (update.state == member_state::dead)
+    {
+        member.refresh_pending = false;
+        std::erase_if(probes_, [&](const pending_probe& probe)
+                      { return probe.target == update.member; });
+    }
+    if (was_owner != may_own(update.state))
+    {
+        ++generation_;
+    }
+    last_change_ = now;
+    effects.push_back(
+        member_changed{update.member, update.state, update.incarnation});
+    if (joined)
+    {
+        send_probe(update.member, now, false, effects);
+    }
+}
+
+void membership::doubt(peer& member, time_point now, router_effects& effects)
+{
+    if (member.known.state == member_state::leaving)
+    {
+        if (!member.doubted_since)
+        {
+            member.doubted_since = now;
+        }
+        return;
+    }
+    if (member.known.state != member_state::alive)
+    {
+        return;
+    }
+    member_update update = member.known;
+    update.state = member_state::suspect;
+    set_state(member, update, now, effects);
+    send_probe(update.member, now, false, effects);
+}
+
+void membership::answer(const protocol::entry_envelope& envelope,
+                        const protocol::probe& request, time_point now,
+                        router_effects& effects)
+{
+    if (request.target == settings_.self)
+    {
+        send(envelope.from,
+             protocol::probe_ack{request.sequence, settings_.self, revision_,
+                                 updates_for(envelope.from)},
+             effects);
+        return;
+    }
+    if (find(request.target) == nullptr)
+    {
+        return;
+    }
+    ++sequence_;
+    relayed_.push_back(
+        {sequence_, request.sequence, request.on_behalf_of, now});
+    send(request.target,
+         protocol::probe{sequence_, request.target, request.on_behalf_of,
+                         revision_, updates_for(request.target)},
+         effects);
+}
+
+void membership::take_answer(const protocol::entry_envelope& envelope,
+                             const protocol::probe_ack& answer,
+                             router_effects& effects)
+{
+    std::erase_if(probes_,
+                  [&](const pending_probe& probe) {
+                      return probe.target == answer.target &&
+                             probe.sequence == answer.sequence;
+                  });
+    const auto relayed =
+        std::find_if(relayed_.begin(), relayed_.end(),
+                     [&](const relayed_probe& probe)
+                     {
+                         return envelope.from == answer.target &&
+                                probe.sequence == answer.sequence;
+                     });
+    if (relayed == relayed_.end())
+    {
+        return;
+    }
+    const relayed_probe origin = *relayed;
+    relayed_.erase(relayed);
+    send(origin.origin,
+         protocol::probe_ack{origin.origin_sequence, answer.target, revision_,
+                             updates_for(origin.origin)},
+         effects);
+}
+
+void membership::leave(time_point now, router_effects& effects)
+{
+    if (leaving_)
+    {
+        return;
+    }
+    leaving_ = true;
+    ++generation_;
+    last_change_ = now;
+    broadcast(now, effects);
+}
+
+void membership::begin_refresh(time_point now, duration limit, bool all,
+                               router_effects& effects)
+{
+    fresh_ = false;
+    refresh_limit_ = now + limit;
+    probes_.clear();
+    std::size_t asked = 0;
+    for (peer& member : peers_)
+    {
+        if (member.doubted_since)
+        {
+            member.doubted_since = now;
+        }
+        member.refresh_pending =
+            all || member.known.state != member_state::dead;
+        if (member.refresh_pending)
+        {
+            ++asked;
+            send_probe(member.known.member, now, false, effects);
+        }
+    }
+    // At the start all members are asked, so that each knows this instance
+    // before it owns a flow; later a majority tells whether it was replaced.
+    refresh_needed_ = all ? 0 : asked - std::min(asked, asked / 2 + 1);
+}
+
+void membership::check_refresh(time_point now)
+{
+    if (fresh_ || !last_tick_)
+    {
+        return;
+    }
+    const auto missing = static_cast<std::size_t>(std::count_if(
+        peers_.begin(), peers_.end(),
+        [](const peer& member) { return member.refresh_pending; }));
+    if (missing <= refresh_needed_ || now >= refresh_limit_)
+    {
+        fresh_ = true;
+        paused_ = false;
+        last_change_ = now;
+        ++generation_;
+    }
+}
+
+void membership::check_probes(time_point now, router_effects& effects)
+{
+    std::erase_if(relayed_, [&](const relayed_probe& probe)
+                  { return now - probe.sent > relay_lifetime; });
+    std::vector<instance_id> silent;
+    for (pending_probe& probe : probes_)
+    {
+        if (now - probe.sent < settings_.probe_timeout)
+        {
+            continue;
+        }
+        if (probe.indirect)
+        {
+            silent.push_back(probe.target);
+            continue;
+        }
+        probe.indirect = true;
+        probe.sent = now;
+        auto helpers = reachable();
+        std::erase(helpers, probe.target);
+        for (std::size_t sent = 0; sent < indirect_probes && !helpers.empty();
+             ++sent)
+        {
+            const auto chosen = random_.below(helpers.size());
+            send(helpers[chosen],
+                 protocol::probe{probe.sequence, probe.target, settings_.self,
+                                 revision_, updates_for(helpers[chosen])},
+                 effects);
+            helpers.erase(helpers.begin() +
+                          static_cast<std::ptrdiff_t>(chosen));
+        }
+    }
+    for (const instance_id target : silent)
+    {
+        std::erase_if(probes_, [&](const pending_probe& probe)
+                      { return probe.target == target; });
+        if (peer* member = find(target))
+        {
+            doubt(*member, now, effects);
+        }
+    }
+}
+
+void membership::check_doubts(time_point now, router_effects& effects)
+{
+    bool died = false;
+    for (peer& member : peers_)
+    {
+        if (!member.doubted_since ||
+            now - *member.doubted_since < settings_.suspicion_timeout)
+        {
+            continue;
+        }
+        member_update update = member.known;
+        update.state = member_state::dead;
+        set_state(member, update, now, effects);
+        died = true;
+    }
+    if (died)
+    {
+        broadcast(now, effects);
+    }
+}
+
+void membership::probe_next(time_point now, router_effects& effects)
+{
+    if (now < next_probe_)
+    {
+        return;
+    }
+    next_probe_ = now + settings_.probe_interval;
+    for (int round = 0; round < 2; ++round)
+    {
+        while (!order_.empty())
+        {
+            const instance_id target = order_.back();
+            order_.pop_back();
+            if (lives(target))
+            {
+                send_probe(target, now, true, effects);
+                return;
+            }
+        }
+        order_ = reachable();
+        for (std::size_t left = order_.size(); left > 1; --left)
+        {
+            std::swap(order_[left - 1], order_[random_.below(left)]);
+        }
+    }
+}
+
+void membership::probe_dead(time_point now, router_effects& effects)
+{
+    if (now < next_dead_probe_)
+    {
+        return;
+    }
+    next_dead_probe_ = now + dead_probe_interval;
+    for (std::size_t tried = 0; tried < peers_.size(); ++tried)
+    {
+        const peer& member = peers_[next_dead_++ % peers_.size()];
+        if (member.known.state == member_state::dead)
+        {
+            send_probe(member.known.member, now, false, effects);
+            return;
+        }
+    }
+}
+
+void membership::send_probe(instance_id to, time_point now, bool await,
+                            router_effects& effects)
+{
+    ++sequence_;
+    if (await)
+    {
+        probes_.push_back({sequence_, to, now, false});
+    }
+    send(to,
+         protocol::probe{sequence_, to, instance_id{}, revision_,
+                         updates_for(to)},
+         effects);
+}
+
+void membership::broadcast(time_point now, router_effects& effects)
+{
+    self_gossip_left_ = gossip_copies;
+    auto targets = reachable();
+    while (targets.size() > max_broadcast)
+    {
+        targets.erase(targets.begin() + static_cast<std::ptrdiff_t>(
+                                            random_.below(targets.size())));
+    }
+    for (const instance_id target : targets)
+    {
+        send_probe(target, now, false, effects);
+    }
+}
+
+std::vector<member_update> membership::updates_for(instance_id to)
+{
+    std::vector<member_update> updates;
+    if (leaving_ || self_gossip_left_ > 0)
+    {
+        self_gossip_left_ -= self_gossip_left_ > 0 ? 1 : 0;
+        updates.push_back(
+            {settings_.self, incarnation_,
+             leaving_ ? member_state::leaving : member_state::alive});
+    }
+    for (peer& member : peers_)
+    {
+        const bool is_receiver = member.known.member == to;
+        if (is_receiver && member.known.incarnation != 0 &&
+            !may_own(member.known.state))
+        {
+            updates.push_back(member.known);
+            continue;
+        }
+        if (is_receiver && member.known.state == member_state::suspect)
+        {
+            updates.push_back(member.known);
+            continue;
+        }
+        if (member.gossip_left > 0 && updates.size() < max_updates)
+        {
+            --member.gossip_left;
+            updates.push_back(member.known);
+        }
+    }
+    return updates;
+}
+
+bool membership::fresh(time_point now) const
+{
+    if (peers_.empty() || settings_.faults.no_freshness)
+    {
+        return true;
+    }
+    return fresh_ && now - *last_tick_ <= settings_.suspicion_timeout;
+}
+
+bool membership::settled(time_point now) const
+{
+    if (peers_.empty())
+    {
+        return true;
+    }
+    return now - last_change_ >= settings_.settling_time &&
+           std::none_of(peers_.begin(), peers_.end(),
+                        [](const peer& member)
+                        { return member.doubted_since.has_value(); });
+}
+
+std::vector<instance_id> membership::eligible() const
+{
+    std::vector<instance_id> members;
+    for (const peer& member : peers_)
+    {
+        if (may_own(member.known.state))
+        {
+            members.push_back(member.known.member);
+        }
+    }
+    if (!leaving_ && (fresh_ || paused_))
+    {
+        members.push_back(settings_.self);
+        std::sort(members.begin(), members.end());
+    }
+    return members;
+}
+
+std::vector<instance_id> membership::reachable() const
+{
+    std::vector<instance_id> members;
+    for (const peer& member : peers_)
+    {
+        if (member.known.state != member_state::dead)
+        {
+            members.push_back(member.known.member);
+        }
+    }
+    return members;
+}
+
+bool membership::lives(instance_id member) const
+{
+    const peer* known = find(member);
+    return known != nullptr && known->known.state != member_state::dead;
+}
+
+bool membership::take_lost_ownership()
+{
+    return std::exchange(lost_ownership_, false);
+}
+
+bool membership::take_declared_dead()
+{
+    return std::exchange(declared_dead_, false);
+}
+
+protocol::entry_envelope
+membership::envelope(protocol::entry_message message) const
+{
+    return {settings_.self, incarnation_, std::move(message)};
+}
+
+std::vector<member_update> membership::view() const
+{
+    std::vector<member_update> members;
+    members.push_back({settings_.self, incarnation_,
+                       leaving_ ? member_state::leaving : member_state::alive});
+    for (const peer& member : peers_)
+    {
+        members.push_back(member.known);
+    }
+    std::sort(members.begin(), members.end(),
+              [](const auto& left, const auto& right)
+              { return left.member < right.member; });
+    return members;
+}
+
+void membership::send(instance_id to, protocol::entry_message message,
+                      router_effects& effects) const
+{
+    effects.push_back(send_to_instance{to, envelope(std::move(message))});
+}
+
+membership::peer* membership::find(instance_id id)
+{
+    return const_cast<peer*>(std::as_const(*this).find(id));
+}
+
+const membership::peer* membership::find(instance_id id) const
+{
+    const auto found = std::find_if(peers_.begin(), peers_.end(),
+                                    [id](const peer& member)
+                                    { return member.known.member == id; });
+    return found == peers_.end() ? nullptr : &*found;
+}
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/membership.hpp
@@ -0,0 +1,154 @@
+#pragma once
+
+#include "coordination/flow_events.hpp"
+#include "coordination/router_settings.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace boragestand::coordination
+{
+
+/// Which entry instances live, as this instance sees it: direct and indirect
+/// probes, suspicion, refutation by incarnation. Dead members are probed at a
+/// low rate for ever, so partitions heal.
+class membership
+{
+public:
+    explicit membership(const router_settings& settings);
+
+    /// Sends probes and lets suspicions run out.
+    void tick(time_point now, router_effects& effects);
+
+    /// Takes any message: its sender lives. Handles probes and their answers.
+    /// Returns false if the message comes from an earlier life of its sender
+    /// and must be ignored.
+    bool receive(const protocol::entry_envelope& envelope, time_point now,
+                 router_effects& effects);
+
+    /// Declares this instance leaving.
+    void leave(time_point now, router_effects& effects);
+
+    /// Whether decisions may rest on the view. False after the start and after
+    /// a pause of the process until enough members have answered.
+    bool fresh(time_point now) const;
+
+    /// Whether no member is suspect and the view has not changed lately.
+    bool settled(time_point now) const;
+
+    /// Grows with each change of eligible().
+    std::uint64_t generation() const { return generation_; }
+
+    /// Members that may own flows, sorted by identity.
+    std::vector<instance_id> eligible() const;
+
+    /// Members that messages can reach, without this instance.
+    std::vector<instance_id> reachable() const;
+
+    /// Whether the member is not dead.
+    bool lives(instance_id member) const;
+
+    /// Whether this instance is in its planned stop.
+    bool leaving() const { return leaving_; }
+
+    /// Whether this instance was paused and declared dead meanwhile, so that
+    /// others own its flows. Reading it clears it.
+    bool take_lost_ownership();
+
+    /// Whether the others declared this instance dead, so that they may have
+    /// given up its pins. Reading it clears it.
+    bool take_declared_dead();
+
+    /// Configuration revision that probes carry.
+    void set_revision(std::uint64_t revision) { revision_ = revision; }
+
+    /// An envelope from this instance.
+    protocol::entry_envelope envelope(protocol::entry_message message) const;
+
+    /// All members with their states, this one included.
+    std::vector<protocol::member_update> view() const;
+
+private:
+    struct peer
+    {
+        protocol::member_update known;
+        std::optional<time_point> doubted_since;
+        time_point last_told{}; ///< when it was told what is thought of it
+        unsigned gossip_left{0};
+        bool refresh_pending{false};
+    };
+
+    struct pending_probe
+    {
+        std::uint32_t sequence{0};
+        instance_id target;
+        time_point sent;
+        bool indirect{false};
+    };
+
+    struct relayed_probe
+    {
+        std::uint32_t sequence{0}; ///< of this instance
+        std::uint32_t origin_sequence{0};
+        instance_id origin;
+        time_point sent;
+    };
+
+    peer* find(instance_id id);
+    const peer* find(instance_id id) const;
+    bool heard(const protocol::entry_envelope& envelope, time_point now,
+               router_effects& effects);
+    void take(const protocol::member_update& update, time_point now,
+              router_effects& effects);
+    void take_about_self(const protocol::member_update& update, time_point now,
+                         router_effects& effects);
+    void doubt(peer& member, time_point now, router_effects& effects);
+    void set_state(peer& member, const protocol::member_update& update,
+                   time_point now, router_effects& effects);
+    void answer(const protocol::entry_envelope& envelope,
+                const protocol::probe& request, time_point now,
+                router_effects& effects);
+    void take_answer(const protocol::entry_envelope& envelope,
+                     const protocol::probe_ack& answer,
+                     router_effects& effects);
+    void begin_refresh(time_point now, duration limit, bool all,
+                       router_effects& effects);
+    void check_refresh(time_point now);
+    void check_probes(time_point now, router_effects& effects);
+    void check_doubts(time_point now, router_effects& effects);
+    void probe_next(time_point now, router_effects& effects);
+    void probe_dead(time_point now, router_effects& effects);
+    void send_probe(instance_id to, time_point now, bool await,
+                    router_effects& effects);
+    void broadcast(time_point now, router_effects& effects);
+    std::vector<protocol::member_update> updates_for(instance_id to);
+    void send(instance_id to, protocol::entry_message message,
+              router_effects& effects) const;
+
+    router_settings settings_;
+    std::uint64_t incarnation_;
+    bool leaving_{false};
+    unsigned self_gossip_left_{0};
+    std::vector<peer> peers_;
+    std::vector<instance_id> order_; ///< members still to probe in this round
+    std::vector<pending_probe> probes_;
+    std::vector<relayed_probe> relayed_;
+    random_sequence random_;
+    std::uint32_t sequence_{0};
+    std::uint64_t revision_{0};
+    std::uint64_t generation_{1};
+    std::optional<time_point> last_tick_;
+    time_point next_probe_{};
+    time_point next_dead_probe_{};
+    std::size_t next_dead_{0};
+    time_point last_change_{};
+    bool fresh_{false};
+    time_point refresh_limit_{};
+    std::size_t refresh_needed_{0};
+    bool paused_{false}; ///< since the last refresh began
+    bool lost_ownership_{false};
+    bool declared_dead_{false};
+};
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/ownership.cpp
@@ -0,0 +1,116 @@
+#include "coordination/ownership.hpp"
+
+#include <algorithm>
+
+namespace boragestand::coordination
+{
+
+namespace
+{
+
+/// Former views that are kept at most; a rolling restart of 6 instances makes
+/// 12.
+constexpr std::size_t max_former_views = 16;
+
+} // namespace
+
+void ownership::set_view(const std::vector<instance_id>& members,
+                         time_point now)
+{
+    candidates next;
+    for (const instance_id id : members)
+    {
+        next.push_back({id, mix_hashes(id.value, 0x6f776e6572ULL)});
+    }
+    if (!current_.empty())
+    {
+        former_.push_front({std::move(current_), since_, now, now});
+    }
+    if (former_.size() > max_former_views)
+    {
+        former_.pop_back();
+    }
+    current_ = std::move(next);
+    since_ = now;
+}
+
+void ownership::expire(time_point now, duration retention)
+{
+    while (!former_.empty() && now - former_.back().last_used > retention)
+    {
+        former_.pop_back();
+    }
+}
+
+void ownership::extend_former_views(time_point now)
+{
+    if (!former_.empty())
+    {
+        former_.front().last_used = now;
+    }
+}
+
+ownership::ranking ownership::rank(std::uint64_t flow_hash) const
+{
+    ranking best{};
+    std::array<std::uint64_t, 3> scores{};
+    for (const candidate& member : current_)
+    {
+        instance_id id = member.id;
+        std::uint64_t score = mix_hashes(flow_hash, member.mixed);
+        for (std::size_t place = 0; place < best.size(); ++place)
+        {
+            if (best[place].value == 0 || score > scores[place])
+            {
+                std::swap(best[place], id);
+                std::swap(scores[place], score);
+            }
+            if (id.value == 0)
+            {
+                break;
+            }
+        }
+    }
+    return best;
+}
+
+instance_id ownership::first(const candidates& members, std::uint64_t flow_hash,
+                             instance_id without)
+{
+    instance_id best;
+    std::uint64_t best_score = 0;
+    for (const candidate& member : members)
+    {
+        const std::uint64_t score = mix_hashes(flow_hash, member.mixed);
+        if (member.id != without && (best.value == 0 || score > best_score))
+        {
+            best = member.id;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+instance_id ownership::owner(std::uint64_t flow_hash) const
+{
+    return first(current_, flow_hash, instance_id{});
+}
+
+instance_id ownership::owner_without_self(std::uint64_t flow_hash) const
+{
+    return first(current_, flow_hash, self_);
+}
+
+std::optional<ownership::former_owner>
+ownership::owner_before(std::uint64_t flow_hash, std::size_t number) const
+{
+    if (number >= former_.size())
+    {
+        return std::nullopt;
+    }
+    const former_view& view = former_[number];
+    return former_owner{first(view.members, flow_hash, instance_id{}),
+                        view.end - view.begin};
+}
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/packet_path.cpp
@@ -0,0 +1,398 @@
+#include "coordination/packet_path.hpp"
+
+#include "coordination/router_clock.hpp"
+
+#include <algorithm>
+
+namespace boragestand::coordination
+{
+
+using protocol::ip_protocol;
+using state::flow_record;
+using state::flow_slot;
+using state::flow_state;
+
+namespace
+{
+
+/// Times a packet may be passed between instances: to the owner, and twice more
+/// while flows change their owner.
+constexpr std::uint8_t max_hops = 3;
+/// Repeated SYNs after which an upstream that takes no new flows is given up.
+/// One alone may be due to a lost packet while the upstream drains.
+constexpr unsigned syns_before_new_place = 2;
+/// Acknowledged bytes after which placement is told again.
+constexpr std::int32_t progress_step = 65536;
+/// Progress after FIN that shows a long answer to a caller that only closed its
+/// own direction, and is not just the end of the connection.
+constexpr std::int32_t half_closed_progress = 1024;
+/// A former owner that was one for less time has decided about no flow that is
+/// old enough to matter.
+constexpr duration shortest_ownership = std::chrono::seconds(2);
+
+} // namespace
+
+packet_decision packet_path::decide(const packet_event& event)
+{
+    ++state_.counters.packets;
+    state_.last_packet = event.now;
+    const auto candidates =
+        state_.services.at(event.packet.destination, event.packet.protocol);
+    for (service_table::entry* service : candidates)
+    {
+        const protocol::flow_key key{
+            service->definition.id, event.packet.source,
+            event.packet.destination, event.packet.protocol};
+        const classified_packet packet{event, *service, key,
+                                       protocol::hash_of(key)};
+        const flow_slot slot = state_.flows.find(key, packet.hash);
+        if (slot != state::no_flow)
+        {
+            const packet_decision decision = decide_held(packet, slot);
+            count(decision);
+            return decision;
+        }
+    }
+    packet_decision decision = dropped{drop_reason::unknown_service};
+    if (!candidates.empty())
+    {
+        service_table::entry& service = *candidates.front();
+        const protocol::flow_key key{service.definition.id, event.packet.source,
+                                     event.packet.destination,
+                                     event.packet.protocol};
+        decision =
+            decide_unknown({event, service, key, protocol::hash_of(key)});
+    }
+    count(decision);
+    return decision;
+}
+
+packet_decision packet_path::decide_held(const classified_packet& packet,
+                                         flow_slot slot)
+{
+    flow_record& record = state_.flows[slot];
+    const protocol::inner_packet& inner = packet.event.packet;
+    if (!state_.members.fresh(packet.event.now) &&
+        record.state != flow_state::moved)
+    {
+        return dropped{drop_reason::view_not_fresh};
+    }
+    if (record.state == flow_state::waiting ||
+        record.state == flow_state::awaiting_pin)
+    {
+        if (inner.flags.rst)
+        {
+            lifecycle_.cancel_held(slot, packet.event.now);
+            return dropped{drop_reason::cancelled};
+        }
+        return dropped{drop_reason::already_held};
+    }
+    if (inner.protocol == ip_protocol::tcp && inner.flags.syn &&
+        !inner.flags.ack)
+    {
+        return decide_syn(packet, slot);
+    }
+    observe(packet, record);
+    return lifecycle_.forward(slot, placement_reason::existing_flow);
+}
+
+packet_decision packet_path::decide_syn(const classified_packet& packet,
+                                        flow_slot slot)
+{
+    flow_record& record = state_.flows[slot];
+    const std::uint32_t sequence = packet.event.packet.sequence;
+    const bool over = record.state == flow_state::closing ||
+                      record.state == flow_state::moved;
+    if (over && record.first_sequence != sequence)
+    {
+        // The caller uses its port for a new flow.
+        lifecycle_.note_end(record, flow_end::completed, packet.event.now);
+        lifecycle_.erase(slot);
+        return decide_unknown(packet);
+    }
+    if (record.state != flow_state::opening)
+    {
+        return lifecycle_.forward(slot, placement_reason::existing_flow);
+    }
+    record.first_sequence = sequence;
+    record.last_packet_ms = ms_of(packet.event.now);
+    record.repeated_syns =
+        static_cast<std::uint8_t>(std::min(record.repeated_syns + 1, 255));
+    lifecycle_.note(record, syn_repeated{}, packet.event.now);
+    if (may_place_again(packet, record))
+    {
+        return lifecycle_.place_again(packet, slot);
+    }
+    return lifecycle_.forward(slot, placement_reason::existing_flow);
+}
+
+bool packet_path::may_place_again(const classified_packet& packet,
+                                  const flow_record& record) const
+{
+    if (record.has_data || packet.service.withdrawn ||
+        record.repeated_syns < syns_before_new_place)
+    {
+        return false;
+    }
+    const auto& upstream = state_.addresses[record.upstream];
+    const auto active = state_.traffic.active_set(record.service);
+    return upstream.replaced ||
+           std::none_of(active.begin(), active.end(),
+                        [&](const protocol::settled_upstream& candidate)
+                        { return candidate.upstream == upstream.upstream; });
+}
+
+void packet_path::observe(const classified_packet& packet, flow_record& record)
+{
+    const time_point now = packet.event.now;
+    record.last_packet_ms = ms_of(now);
+    if (record.protocol == ip_protocol::tcp)
+    {
+        observe_tcp(packet, record);
+    }
+    const auto limit =
+        std::chrono::milliseconds(packet.service.definition.short_limit_ms);
+    if (!record.is_long && !record.end_noted &&
+        since(record.opened_ms, now) > limit)
+    {
+        record.is_long = true;
+        lifecycle_.note(record, flow_became_long{}, now);
+    }
+}
+
+void packet_path::observe_tcp(const classified_packet& packet,
+                              flow_record& record)
+{
+    const protocol::inner_packet& inner = packet.event.packet;
+    const time_point now = packet.event.now;
+    if (inner.flags.rst)
+    {
+        lifecycle_.note_end(record, flow_end::reset, now);
+        record.state = record.state == flow_state::moved ? flow_state::moved
+                                                         : flow_state::closing;
+        return;
+    }
+    if (record.state == flow_state::opening && inner.flags.ack)
+    {
+        record.state = flow_state::established;
+        record.acknowledgement = inner.acknowledgement;
+        lifecycle_.note(record, flow_established{since(record.opened_ms, now)},
+                        now);
+    }
+    record.has_data = record.has_data || inner.payload_size > 0;
+    if (inner.flags.ack)
+    {
+        observe_progress(packet, record);
+    }
+    if (inner.flags.fin)
+    {
+        record.finished = true;
+    }
+    if (record.finished && record.progressed &&
+        record.state == flow_state::established)
+    {
+        record.state = flow_state::closing;
+        record.acknowledgement = inner.acknowledgement;
+        lifecycle_.note_end(record, flow_end::completed, now);
+    }
+}
+
+void packet_path::observe_progress(const classified_packet& packet,
+                                   flow_record& record)
+{
+    const std::uint32_t acknowledged = packet.event.packet.acknowledgement;
+    const auto bytes =
+        static_cast<std::int32_t>(acknowledged - record.acknowledgement);
+    if (bytes <= 0 || !record.has_data || record.state == flow_state::moved)
+    {
+        return;
+    }
+    if (record.state == flow_state::closing && !packet.event.packet.flags.fin &&
+        bytes >= half_closed_progress)
+    {
+        record.state = flow_state::established;
+        record.progressed = false;
+        record.end_noted = false;
+        lifecycle_.note(record, flow_adopted{}, packet.event.now);
+    }
+    if (record.progressed && bytes < progress_step)
+    {
+        return;
+    }
+    record.progressed = !record.finished;
+    record.acknowledgement = acknowledged;
+    lifecycle_.note(record, flow_progressed{static_cast<std::uint32_t>(bytes)},
+                    packet.event.now);
+}
+
+packet_decision packet_path::decide_unknown(const classified_packet& packet)
+{
+    const packet_event& event = packet.event;
+    const instance_id owner = state_.owners.owner(packet.hash);
+    const bool own = owner == state_.settings.self ||
+                     (owner.value == 0 && state_.members.fresh(event.now));
+    const bool returns = event.header.hops > 0 &&
+                         owner == event.header.passed_by &&
+                         !state_.settings.faults.no_return_guard;
+    if (owner.value != 0 && !own && !returns)
+    {
+        if (event.header.hops >= max_hops)
+        {
+            return dropped{drop_reason::too_many_hops};
+        }
+        return pass_to(owner, event);
+    }
+    if (!state_.members.fresh(event.now))
+    {
+        return dropped{drop_reason::view_not_fresh};
+    }
+    return decide_as_owner(packet);
+}
+
+packet_decision packet_path::decide_as_owner(const classified_packet& packet)
+{
+    const protocol::inner_packet& inner = packet.event.packet;
+    if (inner.protocol == ip_protocol::udp)
+    {
+        return decide_unknown_udp(packet);
+    }
+    if (!inner.flags.syn || inner.flags.ack)
+    {
+        return adopt_unknown(packet);
+    }
+    if (packet.service.withdrawn)
+    {
+        return dropped{drop_reason::unknown_service};
+    }
+    return lifecycle_.open(packet);
+}
+
+packet_decision packet_path::adopt_unknown(const classified_packet& packet)
+{
+    const service_id service = packet.service.definition.id;
+    if (const auto pin = state_.kept_pins.find(packet.hash, service))
+    {
+        return lifecycle_.adopt(packet, *pin, placement_reason::pin);
+    }
+    if (auto passed = pass_to_former_owner(packet))
+    {
+        return *passed;
+    }
+    auto upstream = former_default(packet);
+    if (!upstream)
+    {
+        upstream = state_.settled.own_default(service, packet.hash);
+    }
+    if (state_.settings.faults.no_settled_sets)
+    {
+        upstream =
+            rendezvous_choice(state_.traffic.active_set(service), packet.hash);
+    }
+    if (!upstream)
+    {
+        return dropped{drop_reason::unknown_flow};
+    }
+    return lifecycle_.adopt(packet, *upstream,
+                            placement_reason::settled_default);
+}
+
+packet_decision packet_path::decide_unknown_udp(const classified_packet& packet)
+{
+    const state::service& service = packet.service.definition;
+    if (const auto pin = state_.kept_pins.find(packet.hash, service.id))
+    {
+        return lifecycle_.adopt(packet, *pin, placement_reason::pin);
+    }
+    if (auto passed = pass_to_former_owner(packet))
+    {
+        return *passed;
+    }
+    // A flow of a dead owner looks like a new one. One that is not idempotent
+    // has a pin; another one goes on at its default.
+    const auto upstream = former_default(packet);
+    if (upstream && service.idempotent)
+    {
+        return lifecycle_.adopt(packet, *upstream,
+                                placement_reason::settled_default);
+    }
+    if (packet.service.withdrawn)
+    {
+        return dropped{drop_reason::unknown_service};
+    }
+    return lifecycle_.open(packet);
+}
+
+std::optional<packet_decision>
+packet_path::pass_to_former_owner(const classified_packet& packet) const
+{
+    const packet_event& event = packet.event;
+    if (state_.settings.faults.no_previous_owner ||
+        event.header.hops >= max_hops)
+    {
+        return std::nullopt;
+    }
+    for (std::size_t number = 0;; ++number)
+    {
+        const auto former = state_.owners.owner_before(packet.hash, number);
+        if (!former)
+        {
+            return std::nullopt;
+        }
+        const instance_id id = former->instance;
+        if (event.header.hops > 0 && id == event.header.passed_by)
+        {
+            // It has just been asked.
+            return std::nullopt;
+        }
+        if (id != state_.settings.self && id.value != 0 &&
+            state_.members.lives(id))
+        {
+            return pass_to(id, event);
+        }
+    }
+}
+
+std::optional<upstream_id>
+packet_path::former_default(const classified_packet& packet) const
+{
+    const service_id service = packet.service.definition.id;
+    std::optional<upstream_id> choice;
+    for (std::size_t number = 0;; ++number)
+    {
+        const auto former = state_.owners.owner_before(packet.hash, number);
+        if (!former)
+        {
+            return choice;
+        }
+        const auto upstream =
+            former->instance == state_.settings.self
+                ? state_.settled.own_default(service, packet.hash)
+                : state_.settled.peer_default(former->instance, service,
+                                              packet.hash);
+        choice = upstream ? upstream : choice;
+        if (choice && former->in_force >= shortest_ownership)
+        {
+            return choice;
+        }
+    }
+}
+
+packet_decision packet_path::pass_to(instance_id instance,
+                                     const packet_event& event)
+{
+    return forward_to_instance{
+        instance, static_cast<std::uint8_t>(event.header.hops + 1)};
+}
+
+void packet_path::count(const packet_decision& decision)
+{
+    router_counters& counters = state_.counters;
+    counters.forwarded_to_upstream +=
+        std::holds_alternative<forward_to_upstream>(decision) ? 1 : 0;
+    counters.forwarded_to_instance +=
+        std::holds_alternative<forward_to_instance>(decision) ? 1 : 0;
+    counters.packets_dropped +=
+        std::holds_alternative<dropped>(decision) ? 1 : 0;
+}
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/peer_exchange.cpp
@@ -0,0 +1,301 @@
+#include "coordination/peer_exchange.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace boragestand::coordination
+{
+
+namespace
+{
+
+/// Records in one message; one takes up to 110 bytes with a name of 40.
+constexpr std::size_t max_records = 10;
+/// Part of a lease after which a renewal is sent on: two losses in a row let
+/// the lease end, one does not.
+constexpr double renewal_share = 0.4;
+constexpr duration load_interval = std::chrono::milliseconds(250);
+/// Waits before the copies of a new settled set, against loss.
+constexpr std::array settled_waits{
+    std::chrono::milliseconds(100), std::chrono::milliseconds(300),
+    std::chrono::milliseconds(1000), std::chrono::milliseconds(2000)};
+constexpr duration settled_repeat = std::chrono::seconds(15);
+/// Budget that may be saved up, in seconds of its rate.
+constexpr double saved_seconds = 0.5;
+
+bool same_offer(const protocol::upstream_record& left,
+                const protocol::upstream_record& right)
+{
+    protocol::upstream_record renewed = left;
+    renewed.sequence = right.sequence;
+    return renewed == right;
+}
+
+} // namespace
+
+peer_exchange::peer_exchange(router_state& state, flow_lifecycle& lifecycle)
+    : state_(state), lifecycle_(lifecycle)
+{
+}
+
+void peer_exchange::receive(const protocol::entry_envelope& envelope,
+                            time_point now, router_effects& effects)
+{
+    const instance_id from = envelope.from;
+    const auto& message = envelope.message;
+    if (const auto* load = std::get_if<protocol::load_report>(&message))
+    {
+        state_.traffic.apply(from, *load, now);
+    }
+    if (const auto* batch = std::get_if<protocol::upstream_batch>(&message))
+    {
+        for (const auto& record : batch->records)
+        {
+            apply(record, now);
+        }
+    }
+    if (const auto* set = std::get_if<protocol::settled_set>(&message))
+    {
+        state_.settled.take(from, envelope.incarnation, *set);
+    }
+    if (const auto* batch = std::get_if<protocol::pin_batch>(&message))
+    {
+        state_.counters.pins_received += batch->added.size();
+        if (state_.kept_pins.apply(from, envelope.incarnation, *batch, now))
+        {
+            send(from, protocol::pin_ack{batch->sequence}, effects);
+        }
+    }
+    if (const auto* ack = std::get_if<protocol::pin_ack>(&message))
+    {
+        std::vector<flow_reference> ready;
+        state_.pins.acknowledged(from, ack->sequence, ready);
+        for (const flow_reference flow : ready)
+        {
+            lifecycle_.pin_confirmed(flow, now);
+        }
+    }
+    if (const auto* batch = std::get_if<protocol::handover_batch>(&message))
+    {
+        bool taken = true;
+        for (const auto& transfer : batch->flows)
+        {
+            taken = lifecycle_.take(transfer, now) && taken;
+        }
+        state_.owners.extend_former_views(now);
+        if (taken)
+        {
+            send(from, protocol::handover_ack{batch->sequence}, effects);
+        }
+    }
+    if (const auto* ack = std::get_if<protocol::handover_ack>(&message))
+    {
+        std::vector<flow_reference> transferred;
+        state_.transfers.acknowledged(from, ack->sequence, transferred);
+        for (const flow_reference flow : transferred)
+        {
+            lifecycle_.transferred(flow, now);
+        }
+    }
+}
+
+void peer_exchange::apply(const protocol::upstream_record& record,
+                          time_point now)
+{
+    if (state_.traffic.apply(record, now) && record.address.port != 0)
+    {
+        state_.addresses.take(record);
+    }
+}
+
+void peer_exchange::announce(const protocol::upstream_record& record,
+                             time_point now, router_effects& effects)
+{
+    apply(record, now);
+    announced& known = announced_[{record.service, record.upstream}];
+    const bool changed =
+        known.sent_sequence == 0 || !same_offer(known.record, record);
+    known.record = record;
+    if (!changed)
+    {
+        return;
+    }
+    known.sent = now;
+    known.sent_sequence = record.sequence;
+    for (const instance_id peer : state_.members.reachable())
+    {
+        send_records({record}, peer, effects);
+    }
+}
+
+void peer_exchange::tick(time_point now, router_effects& effects)
+{
+    spread_renewals(now, effects);
+    spread_settled_sets(now, effects);
+    send_load(now, effects);
+}
+
+void peer_exchange::spread_renewals(time_point now, router_effects& effects)
+{
+    std::vector<protocol::upstream_record> due;
+    for (auto& [key, known] : announced_)
+    {
+        const duration wait =
+            std::chrono::microseconds(static_cast<std::int64_t>(
+                known.record.lease_ms * 1000 * renewal_share));
+        if (known.record.sequence != known.sent_sequence &&
+            now - known.sent >= wait)
+        {
+            due.push_back(known.record);
+            known.sent = now;
+            known.sent_sequence = known.record.sequence;
+        }
+    }
+    std::erase_if(announced_,
+                  [&](const auto& entry)
+                  {
+                      const auto lease = std::chrono::milliseconds(
+                          entry.second.record.lease_ms);
+                      return now - entry.second.sent > 4 * lease;
+                  });
+    if (due.empty())
+    {
+        return;
+    }
+    for (const instance_id peer : state_.members.reachable())
+    {
+        send_records(due, peer, effects);
+    }
+}
+
+void peer_exchange::send_records(
+    const std::vector<protocol::upstream_record>& records, instance_id to,
+    router_effects& effects) const
+{
+    for (std::size_t first = 0; first < records.size(); first += max_records)
+    {
+        const auto end = std::min(records.size(), first + max_records);
+        protocol::upstream_batch batch;
+        batch.records.assign(
+            records.begin() + static_cast<std::ptrdiff_t>(first),
+            records.begin() + static_cast<std::ptrdiff_t>(end));
+        send(to, std::move(batch), effects);
+    }
+}
+
+void peer_exchange::spread_settled_sets(time_point now, router_effects& effects)
+{
+    for (const service_id service : state_.settled.services())
+    {
+        auto announcement = state_.settled.announcement(service);
+        settled_announcement& sent = settled_[service];
+        if (sent.version != announcement.version)
+        {
+            sent.version = announcement.version;
+            sent.copies_left = settled_waits.size();
+            sent.next = now;
+        }
+        if (now < sent.next)
+        {
+            continue;
+        }
+        const bool repeated = sent.copies_left == 0;
+        sent.next =
+            now +
+            (repeated
+                 ? settled_repeat
+                 : duration(
+                       settled_waits[settled_waits.size() - sent.copies_left]));
+        sent.copies_left -= repeated ? 0 : 1;
+        for (const instance_id peer : state_.members.reachable())
+        {
+            send(peer, announcement, effects);
+        }
+    }
+}
+
+void peer_exchange::send_load(time_point now, router_effects& effects)
+{
+    const auto peers = state_.members.reachable();
+    if (peers.empty())
+    {
+        return;
+    }
+    if (now - load_taken_ >= load_interval)
+    {
+        load_ = state_.traffic.report(now);
+        load_taken_ = now;
+    }
+    // Peers take turns, so that with little budget all reports grow older
+    // together.
+    for (std::size_t tried = 0; tried < peers.size(); ++tried)
+    {
+        const instance_id peer = peers[next_peer_ % peers.size()];
+        const bool recent =
+            load_sent_.contains(peer) && now - load_sent_[peer] < load_interval;
+        if (recent || budget_ < static_cast<double>(last_load_size_))
+        {
+            return;
+        }
+        ++next_peer_;
+        load_sent_[peer] = now;
+        budget_ -= static_cast<double>(last_load_size_);
+        send(peer, load_, effects);
+    }
+}
+
+void peer_exchange::greet(instance_id member, time_point now,
+                          router_effects& effects)
+{
+    std::vector<protocol::upstream_record> records;
+    for (const auto& [key, known] : announced_)
+    {
+        records.push_back(known.record);
+    }
+    (void)now;
+    send_records(records, member, effects);
+    for (const service_id service : state_.settled.services())
+    {
+        send(member, state_.settled.announcement(service), effects);
+    }
+}
+
+void peer_exchange::account(const router_effects& effects, std::size_t first,
+                            time_point now)
+{
+    const double rate = state_.settings.control_bytes_per_second;
+    const std::chrono::duration<double> passed = now - budget_time_;
+    budget_time_ = now;
+    budget_ = std::min(budget_ + rate * passed.count(), rate * saved_seconds);
+    for (std::size_t index = first; index < effects.size(); ++index)
+    {
+        const auto* sent = std::get_if<send_to_instance>(&effects[index]);
+        if (sent == nullptr)
+        {
+            continue;
+        }
+        const auto encoded = protocol::encode_entry_message(sent->envelope);
+        const std::size_t size = encoded ? encoded->size() : 0;
+        state_.counters.control_bytes_sent += size;
+        const auto& message = sent->envelope.message;
+        if (std::holds_alternative<protocol::load_report>(message))
+        {
+            last_load_size_ = size;
+            continue; // charged when it was sent
+        }
+        if (!std::holds_alternative<protocol::handover_batch>(message) &&
+            !std::holds_alternative<protocol::handover_ack>(message))
+        {
+            budget_ -= static_cast<double>(size);
+        }
+    }
+}
+
+void peer_exchange::send(instance_id to, protocol::entry_message message,
+                         router_effects& effects) const
+{
+    effects.push_back(
+        send_to_instance{to, state_.members.envelope(std::move(message))});
+}
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/pin_sender.cpp
@@ -0,0 +1,364 @@
+#include "coordination/pin_sender.hpp"
+
+#include <algorithm>
+
+namespace boragestand::coordination
+{
+
+using state::flow_record;
+using state::flow_state;
+
+namespace
+{
+
+/// Encoded sizes in bytes, rounded up, with which the budget is charged.
+constexpr double pin_bytes = 20;
+constexpr double removal_bytes = 9;
+/// Keeps a batch below max_entry_message_size.
+constexpr std::size_t max_pins = 40;
+constexpr std::size_t max_removals = 40;
+/// Pins of one backup are collected for this long, so that the 50 bytes of a
+/// batch and its confirmation are shared.
+constexpr duration collect_time = std::chrono::milliseconds(200);
+constexpr duration first_repeat = std::chrono::milliseconds(200);
+constexpr unsigned max_doublings = 3;
+constexpr std::size_t max_unconfirmed = 64;
+
+bool wants_pin(const flow_record& record)
+{
+    switch (record.state)
+    {
+    case flow_state::awaiting_pin:
+        return true;
+    case flow_state::opening:
+    case flow_state::established:
+    case flow_state::closing:
+        return record.exception && !record.end_noted;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+pin_sender::pin_sender(const router_settings& settings,
+                       state::flow_table& flows,
+                       const upstream_addresses& addresses,
+                       const ownership& owners)
+    : settings_(settings)
+    , flows_(flows)
+    , addresses_(addresses)
+    , owners_(owners)
+    , positions_(settings.members)
+    , budget_(settings.pin_bytes_per_second, settings.pin_bytes_per_second)
+{
+}
+
+void pin_sender::add(flow_reference flow, time_point opened)
+{
+    if (!settings_.faults.no_pins)
+    {
+        aging_.push_back({flow, opened + settings_.pin_age});
+    }
+}
+
+void pin_sender::add_now(flow_reference flow)
+{
+    flow_record& record = flows_[flow.slot];
+    if (record.queued || settings_.faults.no_pins)
+    {
+        return;
+    }
+    record.queued = true;
+    now_.push_back(flow);
+}
+
+void pin_sender::add_waiting(flow_reference flow)
+{
+    waiting_.push_back(flow);
+}
+
+pin_sender::backup_numbers pin_sender::wanted_backups(std::uint64_t hash) const
+{
+    backup_numbers wanted{};
+    const std::size_t limit =
+        settings_.faults.no_second_backup ? 1 : settings_.backups;
+    std::size_t found = 0;
+    for (const instance_id id : owners_.rank(hash))
+    {
+        if (id.value != 0 && id != settings_.self && found < limit &&
+            found < wanted.size())
+        {
+            wanted[found] = positions_.number_of(id);
+            ++found;
+        }
+    }
+    return wanted;
+}
+
+bool pin_sender::misplaced(const flow_record& record) const
+{
+    if (!wants_pin(record) || record.queued || settings_.faults.no_repinning)
+    {
+        return false;
+    }
+    auto wanted = wanted_backups(record.hash);
+    auto used = record.backups;
+    std::sort(wanted.begin(), wanted.end());
+    std::sort(used.begin(), used.end());
+    return wanted != used;
+}
+
+void pin_sender::remove(flow_record& record)
+{
+    const std::array<bool, 2> acked{record.first_acked, record.second_acked};
+    for (std::size_t place = 0; place < acked.size(); ++place)
+    {
+        // An unconfirmed pin is taken back when its confirmation arrives.
+        if (record.backups[place] != 0 && acked[place])
+        {
+            channels_[record.backups[place]].removals.push_back(record.hash);
+        }
+    }
+    record.backups = {};
+    record.first_acked = false;
+    record.second_acked = false;
+}
+
+void pin_sender::member_died(instance_id id)
+{
+    const std::uint8_t number = positions_.number_of(id);
+    const auto found = channels_.find(number);
+    if (found == channels_.end())
+    {
+        return;
+    }
+    auto& channel = found->second;
+    channel.removals.clear();
+    channel.unconfirmed.clear();
+    channel.open = {};
+    channel.open_flows.clear();
+}
+
+bool pin_sender::pin(flow_reference flow, bool forced, time_point now)
+{
+    flow_record& record = flows_[flow.slot];
+    const backup_numbers wanted = wanted_backups(flow.hash);
+    const auto kept = [&](std::uint8_t number)
+    {
+        return number != 0 &&
+               std::find(record.backups.begin(), record.backups.end(),
+                         number) != record.backups.end();
+    };
+    const auto missing = std::count_if(
+        wanted.begin(), wanted.end(),
+        [&](std::uint8_t number) { return number != 0 && !kept(number); });
+    const double cost = pin_bytes * static_cast<double>(missing);
+    if (!budget_.take(cost, now) && !forced)
+    {
+        return false;
+    }
+    const auto old = record.backups;
+    const std::array<bool, 2> old_acked{record.first_acked,
+                                        record.second_acked};
+    std::array<bool, 2> acked{};
+    for (std::size_t place = 0; place < old.size(); ++place)
+    {
+        const auto still = std::find(wanted.begin(), wanted.end(), old[place]);
+        if (old[place] == 0)
+        {
+            continue;
+        }
+        if (still == wanted.end() && old_acked[place])
+        {
+            channels_[old[place]].removals.push_back(flow.hash);
+        }
+        if (still != wanted.end())
+        {
+            acked[static_cast<std::size_t>(still - wanted.begin())] =
+                old_acked[place];
+        }
+    }
+    for (const std::uint8_t number : wanted)
+    {
+        if (number != 0 && !kept(number))
+        {
+            copy_to(number, flow, forced);
+        }
+    }
+    record.backups = wanted;
+    record.first_acked = acked[0];
+    record.second_acked = acked[1];
+    return true;
+}
+
+void pin_sender::copy_to(std::uint8_t backup, flow_reference flow, bool urgent)
+{
+    backup_channel& channel = channels_[backup];
+    const auto& upstream = addresses_[flows_[flow.slot].upstream];
+    channel.open.added.push_back(
+        {flow.hash, upstream.service, upstream.upstream});
+    channel.open_flows.push_back(flow);
+    channel.urgent = channel.urgent || urgent;
+    ++pins_sent_;
+}
+
+void pin_sender::send_queued(time_point now)
+{
+    for (; !waiting_.empty(); waiting_.pop_front())
+    {
+        const flow_reference flow = waiting_.front();
+        if (flows_.holds(flow.slot, flow.hash) && wants_pin(flows_[flow.slot]))
+        {
+            pin(flow, true, now);
+        }
+    }
+    backlog_bytes_ = 0;
+    // Flows without any copy go before those whose copies are to be moved.
+    for (; !aging_.empty() && aging_.front().due <= now; aging_.pop_front())
+    {
+        const flow_reference flow = aging_.front().flow;
+        const bool due = flows_.holds(flow.slot, flow.hash) &&
+                         wants_pin(flows_[flow.slot]) &&
+                         flows_[flow.slot].backups[0] == 0;
+        if (due && !pin(flow, false, now))
+        {
+            backlog_bytes_ = aging_.size() * static_cast<std::size_t>(
+                                                 pin_bytes * settings_.backups);
+            return;
+        }
+    }
+    for (; !now_.empty(); now_.pop_front())
+    {
+        const flow_reference flow = now_.front();
+        if (!flows_.holds(flow.slot, flow.hash))
+        {
+            continue;
+        }
+        if (wants_pin(flows_[flow.slot]) && !pin(flow, false, now))
+        {
+            backlog_bytes_ = now_.size() * static_cast<std::size_t>(
+                                               pin_bytes * settings_.backups);
+            return;
+        }
+        flows_[flow.slot].queued = false;
+    }
+}
+
+void pin_sender::tick(const membership& members, time_point now,
+                      router_effects& effects)
+{
+    send_queued(now);
+    for (auto& [backup, channel] : channels_)
+    {
+        take_removals(channel, now);
+        flush(backup, channel, members, now, effects);
+        repeat(backup, channel, members, now, effects);
+    }
+}
+
+void pin_sender::take_removals(backup_channel& channel, time_point now)
+{
+    while (!channel.removals.empty() &&
+           channel.open.removed.size() < max_removals &&
+           budget_.take(removal_bytes, now))
+    {
+        channel.open.removed.push_back(channel.removals.front());
+        channel.removals.pop_front();
+    }
+}
+
+void pin_sender::flush(std::uint8_t backup, backup_channel& channel,
+                       const membership& members, time_point now,
+                       router_effects& effects)
+{
+    const bool empty =
+        channel.open.added.empty() && channel.open.removed.empty();
+    const bool full = channel.open.added.size() >= max_pins / 2;
+    const bool due =
+        channel.urgent || full || now - channel.last_sent >= collect_time;
+    if (empty || !due || channel.unconfirmed.size() >= max_unconfirmed)
+    {
+        return;
+    }
+    channel.last_sent = now;
+    channel.urgent = false;
+    auto& added = channel.open.added;
+    while (!added.empty() || !channel.open.removed.empty())
+    {
+        sent_batch next;
+        const auto count =
+            static_cast<std::ptrdiff_t>(std::min(max_pins, added.size()));
+        next.batch.sequence = ++channel.sequence;
+        next.batch.added.assign(added.begin(), added.begin() + count);
+        next.batch.removed = std::move(channel.open.removed);
+        next.flows.assign(channel.open_flows.begin(),
+                          channel.open_flows.begin() + count);
+        next.sent = now;
+        added.erase(added.begin(), added.begin() + count);
+        channel.open_flows.erase(channel.open_flows.begin(),
+                                 channel.open_flows.begin() + count);
+        channel.open.removed.clear();
+        effects.push_back(send_to_instance{positions_.id_of(backup),
+                                           members.envelope(next.batch)});
+        channel.unconfirmed.emplace(next.batch.sequence, std::move(next));
+    }
+}
+
+void pin_sender::repeat(std::uint8_t backup, backup_channel& channel,
+                        const membership& members, time_point now,
+                        router_effects& effects) const
+{
+    for (auto& [sequence, sent] : channel.unconfirmed)
+    {
+        const auto wait = first_repeat * (1U << sent.repeats);
+        if (now - sent.sent < wait)
+        {
+            continue;
+        }
+        sent.sent = now;
+        sent.repeats = std::min(sent.repeats + 1, max_doublings);
+        effects.push_back(send_to_instance{positions_.id_of(backup),
+                                           members.envelope(sent.batch)});
+    }
+}
+
+void pin_sender::acknowledged(instance_id from, std::uint32_t sequence,
+                              std::vector<flow_reference>& ready)
+{
+    const std::uint8_t number = positions_.number_of(from);
+    const auto channel = channels_.find(number);
+    if (channel == channels_.end())
+    {
+        return;
+    }
+    const auto found = channel->second.unconfirmed.find(sequence);
+    if (found == channel->second.unconfirmed.end())
+    {
+        return;
+    }
+    for (const flow_reference flow : found->second.flows)
+    {
+        const bool held = flows_.holds(flow.slot, flow.hash);
+        flow_record* record = held ? &flows_[flow.slot] : nullptr;
+        if (held && record->backups[0] == number)
+        {
+            record->first_acked = true;
+            if (record->state == flow_state::awaiting_pin)
+            {
+                ready.push_back(flow);
+            }
+        }
+        else if (held && record->backups[1] == number)
+        {
+            record->second_acked = true;
+        }
+        else
+        {
+            channel->second.removals.push_back(flow.hash);
+        }
+    }
+    channel->second.unconfirmed.erase(found);
+}
+
+} // namespace boragestand::coordination
--- a/src/coordination/traffic_types.cpp
+++ b/src/coordination/traffic_types.cpp
@@ -49,6 +49,12 @@
         return "awaiting_backup";
     case drop_reason::view_not_fresh:
         return "view_not_fresh";
+    case drop_reason::already_held:
+        return "already_held";
+    case drop_reason::cancelled:
+        return "cancelled";
+    case drop_reason::table_full:
+        return "table_full";
     }
     return "unknown";
 }
--- a/src/coordination/traffic_types.hpp
+++ b/src/coordination/traffic_types.hpp
@@ -43,7 +43,10 @@
     unknown_flow,    ///< nothing tells where the flow belongs
     upstream_gone,   ///< at-most-once: never sent to another upstream
     awaiting_backup, ///< the pin was not acknowledged in time
-    view_not_fresh   ///< this instance was cut off and refreshes its view
+    view_not_fresh,  ///< this instance was cut off and refreshes its view
+    already_held,    ///< the first packet of this flow is being held
+    cancelled,       ///< the caller gave up before the request was run
+    table_full       ///< the flow table has no room
 };
 
 /// Names for logs and metrics, as in the enumerators.
--- a/src/state/flow_record.hpp
+++ b/src/state/flow_record.hpp
@@ -11,13 +11,13 @@
 /// Stage of a flow at its owner.
 enum class flow_state : std::uint8_t
 {
-    free,          ///< the record holds no flow
-    waiting,       ///< in the hold queue
-    awaiting_pin,  ///< placed, first datagram waits for the backup
-    opening,       ///< first packet passed on, nothing heard since
-    established,   ///< the caller confirmed that the upstream answered
-    closing,       ///< FIN or RST seen, kept for late packets
-    moved          ///< another instance owns it, kept for late packets
+    free,         ///< the record holds no flow
+    waiting,      ///< in the hold queue
+    awaiting_pin, ///< placed, first datagram waits for the backup
+    opening,      ///< first packet passed on, nothing heard since
+    established,  ///< the caller confirmed that the upstream answered
+    closing,      ///< FIN or RST seen, kept for late packets
+    moved         ///< another instance owns it, kept for late packets
 };
 
 /// What the owner of a flow keeps about it. Times are milliseconds of the
@@ -42,17 +42,18 @@
     /// Position in the member list plus one of the instances that were sent a
     /// pin; 0 for none.
     std::array<std::uint8_t, 2> backups{};
-    bool has_data : 1 {false};    ///< data from the caller was passed on
-    bool exception : 1 {false};   ///< not at its settled default
-    bool is_long : 1 {false};     ///< open beyond the service's short limit
-    bool progressed : 1 {false};  ///< the caller acknowledged answer bytes
-    bool end_noted : 1 {false};   ///< placement was told that it is over
-    bool queued : 1 {false};      ///< waits for the pin budget
-    bool first_acked : 1 {false}; ///< backups[0] confirmed the pin
-    bool second_acked : 1 {false}; ///< backups[1] confirmed the pin
-    bool transferring : 1 {false}; ///< part of an unconfirmed hand-over batch
-    bool has_request : 1 {false};  ///< a request identity refers to it
-    bool finished : 1 {false};     ///< the caller sent FIN
+    bool has_data : 1 {false};      ///< data from the caller was passed on
+    bool exception : 1 {false};     ///< not at its settled default
+    bool is_long : 1 {false};       ///< open beyond the service's short limit
+    bool progressed : 1 {false};    ///< the caller acknowledged answer bytes
+    bool end_noted : 1 {false};     ///< placement was told that it is over
+    bool queued : 1 {false};        ///< waits for the pin budget
+    bool first_acked : 1 {false};   ///< backups[0] confirmed the pin
+    bool second_acked : 1 {false};  ///< backups[1] confirmed the pin
+    bool transferring : 1 {false};  ///< part of an unconfirmed hand-over batch
+    bool has_request : 1 {false};   ///< a request identity refers to it
+    bool finished : 1 {false};      ///< the caller sent FIN
+    bool was_forwarded : 1 {false}; ///< a packet has gone to some upstream
 
     /// The key of the flow.
     protocol::flow_key key() const
--- a/src/state/pin_table.hpp
+++ b/src/state/pin_table.hpp
@@ -59,12 +59,11 @@
     struct sender_pins
     {
         std::uint64_t incarnation{0};
-        std::uint32_t taken_below{1}; ///< all batches before this were taken
+        std::uint32_t taken_below{1};  ///< all batches before this were taken
         std::set<std::uint32_t> taken; ///< later ones that were taken
         pin_map pins;
     };
 
-
     bool accept_incarnation(instance_id sender, std::uint64_t incarnation,
                             time_point now);
     static bool take_sequence(sender_pins& sender, std::uint32_t sequence);
