--- a/src/coordination/traffic_types.hpp
+++ b/src/coordination/traffic_types.hpp
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <string>
 #include <string_view>
 #include <variant>
 
@@ -42,7 +43,10 @@
     unknown_flow,    ///< nothing tells where the flow belongs
     upstream_gone,   ///< at-most-once: never sent to another upstream
     awaiting_backup, ///< the pin was not acknowledged in time
-    view_not_fresh   ///< this instance was cut off and refreshes its view
+    view_not_fresh,  ///< this instance was cut off and refreshes its view
+    already_held,    ///< the first packet of this flow is being held
+    cancelled,       ///< the caller gave up before the request was run
+    table_full       ///< the flow table has no room
 };
 
 /// Names for logs and metrics, as in the enumerators.
@@ -179,6 +183,8 @@
     std::variant<flow_adopted, flow_established, flow_became_long,
                  flow_progressed, syn_repeated, flow_ended>
         what;
+    /// The flow, as in its flow_arrival.
+    std::uint64_t flow_hash{0};
 
     auto operator<=>(const flow_evidence&) const = default;
 };
@@ -207,4 +213,15 @@
     auto operator<=>(const director_request&) const = default;
 };
 
+/// A decision of placement or admission that is worth a log line.
+struct traffic_note
+{
+    std::string event; ///< such as upstream_ejected
+    service_id service;
+    upstream_id upstream;
+    std::string reason;
+
+    auto operator<=>(const traffic_note&) const = default;
+};
+
 } // namespace boragestand::coordination
