Add doubles of fabric, callers, upstreams and director

The data path is tested against hosts and a fabric that behave as real ones: callers and upstreams speak TCP with handshake, retransmission, FIN and RST, an upstream answers a segment of an unknown flow with RST, and the fabric sprays each packet with loss, duplication and reordering by seed. Response bodies differ for each request, so a response of another request or service is noticed; upstreams log each run, so a second run is noticed across processes.

Kernel TCP was ruled out: without raw sockets or tunnels the inner packets cannot reach it.

--- /dev/null
+++ b/tests/standins/caller/caller.cpp
@@ -0,0 +1,315 @@
+#include "caller.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace boragestand::standins
+{
+
+namespace
+{
+
+constexpr duration tick = std::chrono::milliseconds(2);
+
+// A closed flow still answers a repeated FIN for this long.
+constexpr duration linger = std::chrono::milliseconds(1000);
+
+constexpr duration longest_repeat_delay = std::chrono::seconds(2);
+
+constexpr std::uint64_t first_port = 10000;
+constexpr std::uint64_t ports_per_address = 50000;
+
+} // namespace
+
+caller::caller(program& host, const caller_settings& settings,
+               std::function<void()> finished)
+    : host_(host)
+    , settings_(settings)
+    , finished_(std::move(finished))
+    , random_(settings.seed)
+    , socket_(value_or_exit(transport::udp_socket::bind(settings.local)))
+    , started_(host.timers.now())
+    ,
+    // The address keeps requests of several caller processes apart.
+    next_request_(std::uint64_t{settings.inner_address} << 32 | 1)
+{
+    subscriptions_.push_back(
+        host.loop.watch(socket_.fd(), transport::readiness::readable,
+                        [this](transport::readiness) { receive(); }));
+    subscriptions_.push_back(host.timers.every(
+        tick,
+        [this](time_point now)
+        {
+            open_due(now);
+            check_due(now);
+            if (counters_.flows == settings_.flows && flows_.empty())
+            {
+                finished_();
+            }
+        }));
+}
+
+void caller::open_due(time_point now)
+{
+    const double seconds =
+        std::chrono::duration<double>(now - started_).count();
+    const auto due = std::min(
+        settings_.flows, static_cast<std::uint64_t>(seconds * settings_.rate));
+    while (counters_.flows < due)
+    {
+        open(now);
+    }
+}
+
+void caller::open(time_point now)
+{
+    const std::uint64_t number = counters_.flows++;
+    flow added;
+    added.source = {
+        settings_.inner_address +
+            static_cast<std::uint32_t>(number / ports_per_address),
+        static_cast<std::uint16_t>(first_port + number % ports_per_address)};
+    added.is_long = random_.fraction() < settings_.long_share;
+    added.work = added.is_long ? settings_.long_work : settings_.short_work;
+    added.opened = now;
+    if (settings_.protocol == protocol::ip_protocol::tcp)
+    {
+        added.stream = tcp_stream::connect(
+            static_cast<std::uint32_t>(random_.next()), now, {});
+    }
+    ++open_;
+    const auto source = added.source;
+    flow& current = flows_.emplace(source, std::move(added)).first->second;
+    start_request(current, now);
+    advance(current, now);
+    wakeups_.add(now + settings_.flow_limit, source);
+    if (settings_.give_up > duration{0})
+    {
+        wakeups_.add(now + settings_.give_up, source);
+    }
+}
+
+void caller::start_request(flow& current, time_point now)
+{
+    request wanted;
+    wanted.id = next_request_++;
+    wanted.service = settings_.service;
+    wanted.work_ms = current.work.work_ms;
+    wanted.bytes = current.work.bytes;
+    wanted.is_long = current.is_long;
+    wanted.deadline_ms = settings_.deadline_ms;
+    ++current.requests_sent;
+    current.check.emplace(wanted);
+    if (current.stream)
+    {
+        current.stream->send(to_line(wanted), now);
+        return;
+    }
+    current.next_action = now;
+}
+
+void caller::send(const flow& current,
+                  std::variant<tcp_segment, udp_payload> content)
+{
+    protocol::geneve_header header;
+    if (settings_.mark_class)
+    {
+        header.work = current.is_long ? protocol::request_class::long_work
+                                      : protocol::request_class::short_work;
+    }
+    if (settings_.deadline_ms > 0)
+    {
+        header.deadline_ms = settings_.deadline_ms;
+    }
+    socket_.send_to(
+        settings_.fabric,
+        encode_datagram(header, {current.source, settings_.service_address,
+                                 std::move(content)}));
+}
+
+void caller::receive()
+{
+    const time_point now = host_.timers.now();
+    for (const auto& datagram : socket_.receive())
+    {
+        const auto packet = decode_datagram(datagram.bytes);
+        const auto found =
+            packet ? flows_.find(packet->destination) : flows_.end();
+        if (found == flows_.end() ||
+            packet->source != settings_.service_address)
+        {
+            continue;
+        }
+        flow& current = found->second;
+        if (const auto* segment = std::get_if<tcp_segment>(&packet->content))
+        {
+            if (current.stream)
+            {
+                current.stream->receive(*segment, now);
+                take_bytes(current, current.stream->take_received(), now);
+            }
+        }
+        else if (!current.stream)
+        {
+            take_bytes(current, std::get<udp_payload>(packet->content).bytes,
+                       now);
+        }
+        advance(current, now);
+    }
+}
+
+void caller::take_bytes(flow& current, std::string_view bytes, time_point now)
+{
+    using verdict = response_check::verdict;
+    if (bytes.empty() || current.has_result)
+    {
+        return;
+    }
+    if (!current.check)
+    {
+        // A response without a request.
+        end(current, flow_result::broken, now);
+        return;
+    }
+    switch (current.check->add(bytes))
+    {
+    case verdict::incomplete:
+        return;
+    case verdict::shed:
+        end(current, flow_result::shed, now);
+        return;
+    case verdict::wrong_service:
+        end(current, flow_result::wrong_service, now);
+        return;
+    case verdict::wrong_response:
+        end(current, flow_result::broken, now);
+        return;
+    case verdict::complete:
+        break;
+    }
+    current.check.reset();
+    if (current.requests_sent == current.work.requests)
+    {
+        end(current, flow_result::completed, now);
+        return;
+    }
+    current.next_action = now + current.work.think_time;
+    wakeups_.add(current.next_action, current.source);
+}
+
+void caller::end(flow& current, flow_result result, time_point now)
+{
+    current.has_result = true;
+    --open_;
+    ++counters_.results[static_cast<std::size_t>(result)];
+    current.next_action = now + linger;
+    wakeups_.add(current.next_action, current.source);
+    if (result == flow_result::completed)
+    {
+        auto& latencies = current.is_long ? counters_.long_latencies
+                                          : counters_.short_latencies;
+        latencies.push_back(now - current.opened);
+    }
+    if (!current.stream)
+    {
+        return;
+    }
+    if (result == flow_result::completed || result == flow_result::shed)
+    {
+        current.stream->close(now);
+        return;
+    }
+    current.stream->abort();
+}
+
+// Sends what the flow has to say and notes when it wants attention again.
+void caller::advance(flow& current, time_point now)
+{
+    if (!current.stream)
+    {
+        act(current, now);
+        return;
+    }
+    check_stream(current, now);
+    for (tcp_segment& segment : current.stream->take_output())
+    {
+        send(current, std::move(segment));
+    }
+    wakeups_.add(current.stream->deadline(), current.source);
+}
+
+void caller::check_stream(flow& current, time_point now)
+{
+    if (current.has_result)
+    {
+        return;
+    }
+    const auto state = current.stream->current_state();
+    if (state == tcp_stream::state::refused)
+    {
+        end(current, flow_result::refused, now);
+        return;
+    }
+    if (!current.stream->is_alive() || current.stream->is_closed_by_peer())
+    {
+        end(current, flow_result::broken, now);
+    }
+}
+
+// Starts the next request of a flow, or repeats the datagram of a UDP flow.
+void caller::act(flow& current, time_point now)
+{
+    if (current.has_result || now < current.next_action)
+    {
+        return;
+    }
+    if (!current.check)
+    {
+        start_request(current, now);
+    }
+    if (current.stream || !current.check)
+    {
+        return;
+    }
+    send(current, udp_payload{to_line(current.check->wanted())});
+    current.next_action = now + current.repeat_delay;
+    current.repeat_delay =
+        std::min(2 * current.repeat_delay, longest_repeat_delay);
+    wakeups_.add(current.next_action, current.source);
+}
+
+void caller::check_due(time_point now)
+{
+    while (const auto source = wakeups_.take_due(now))
+    {
+        const auto found = flows_.find(*source);
+        if (found == flows_.end())
+        {
+            continue;
+        }
+        flow& current = found->second;
+        if (current.stream)
+        {
+            current.stream->check_timeout(now);
+        }
+        const duration age = now - current.opened;
+        if (!current.has_result && age >= settings_.flow_limit)
+        {
+            end(current, flow_result::broken, now);
+        }
+        else if (!current.has_result && settings_.give_up > duration{0} &&
+                 age >= settings_.give_up)
+        {
+            end(current, flow_result::cancelled, now);
+        }
+        act(current, now);
+        advance(current, now);
+        const bool quiet = !current.stream || !current.stream->deadline();
+        if (current.has_result && quiet && now >= current.next_action)
+        {
+            flows_.erase(found);
+        }
+    }
+}
+
+} // namespace boragestand::standins
--- /dev/null
+++ b/tests/standins/upstream/announcer.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "program.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace boragestand::standins
+{
+
+/// What an upstream announces about itself.
+struct announcement
+{
+    std::string service;
+    std::string name;
+    transport::endpoint address; ///< of Geneve datagrams
+    std::uint32_t slots{2};
+    std::uint32_t connections{2000};
+    std::uint32_t weight{100};
+    std::uint32_t warmup_ms{0};
+    std::uint32_t lease_ms{3000};
+    std::string health_url;
+    std::string load_url;
+};
+
+/// Announces an upstream to one entry instance, renews the lease, and goes to
+/// the next instance when one does not answer.
+class announcer
+{
+public:
+    announcer(program& host, announcement content,
+              std::vector<transport::endpoint> entries);
+
+    /// Announces that no new work is wanted.
+    void drain();
+
+    /// Withdraws the upstream; the callback runs once that is confirmed or all
+    /// instances were tried.
+    void withdraw(std::function<void()> done);
+
+    /// Announcements that were confirmed.
+    std::uint64_t confirmed() const { return confirmed_; }
+
+private:
+    void send();
+    void send_withdrawal(std::size_t attempts, std::function<void()> done);
+    void use_next_entry();
+    std::string body() const;
+
+    program& host_;
+    announcement content_;
+    std::vector<transport::endpoint> entries_;
+    std::size_t current_{0};
+    std::unique_ptr<transport::http2_client> client_;
+    bool draining_{false};
+    bool withdrawn_{false};
+    std::uint64_t confirmed_{0};
+    transport::subscription renewal_;
+};
+
+} // namespace boragestand::standins
