--- a/tests/standins/upstream/announcer.cpp
+++ b/tests/standins/upstream/announcer.cpp
@@ -27,7 +27,7 @@
     send();
 }
 
-std::string announcer::body() const
+std::string announcer::next_body()
 {
     return nlohmann::json{
         {"address", transport::address_text(content_.address.address)},
@@ -39,7 +39,9 @@
         {"state", draining_ ? "draining" : "ready"},
         {"health_url", content_.health_url},
         {"load_url", content_.load_url},
-        {"lease_ms", content_.lease_ms}}
+        {"lease_ms", content_.lease_ms},
+        {"incarnation", incarnation_},
+        {"sequence", ++sequence_}}
         .dump();
 }
 
@@ -53,12 +55,12 @@
         {"PUT",
          "/v1/upstreams/" + content_.service + '/' + content_.name,
          {{"content-type", "application/json"}},
-         body()},
+         next_body()},
         answer_timeout,
         [this](const result<transport::http_response>& response)
         {
             const bool confirmed = response && response->status / 100 == 2;
-            confirmed_ += confirmed ? 1 : 0;
+            announced_ = announced_ || confirmed;
             const duration renewal =
                 std::chrono::milliseconds(content_.lease_ms) / 3;
             renewal_ = host_.timers.after(confirmed ? renewal : retry_delay,
--- a/tests/standins/upstream/announcer.hpp
+++ b/tests/standins/upstream/announcer.hpp
@@ -41,23 +41,25 @@
     /// instances were tried.
     void withdraw(std::function<void()> done);
 
-    /// Announcements that were confirmed.
-    std::uint64_t confirmed() const { return confirmed_; }
+    /// Whether an entry instance has accepted an announcement.
+    bool is_announced() const { return announced_; }
 
 private:
     void send();
     void send_withdrawal(std::size_t attempts, std::function<void()> done);
     void use_next_entry();
-    std::string body() const;
+    std::string next_body();
 
     program& host_;
     announcement content_;
     std::vector<transport::endpoint> entries_;
     std::size_t current_{0};
     std::unique_ptr<transport::http2_client> client_;
+    std::uint64_t incarnation_; ///< start, milliseconds since 1970
+    std::uint64_t sequence_{0};
     bool draining_{false};
     bool withdrawn_{false};
-    std::uint64_t confirmed_{0};
+    bool announced_{false};
     transport::subscription renewal_;
 };
 
--- a/tests/standins/upstream/main.cpp
+++ b/tests/standins/upstream/main.cpp
@@ -178,6 +178,19 @@
         upstreams.push_back(std::make_unique<upstream>(
             host, settings_of(values, ledger, index)));
     }
+    transport::subscription announced;
+    announced = host.timers.every(
+        std::chrono::milliseconds(20),
+        [&](time_point)
+        {
+            if (std::all_of(upstreams.begin(), upstreams.end(),
+                            [](const auto& each)
+                            { return each->is_announced(); }))
+            {
+                std::cout << "announced" << std::endl;
+                announced.cancel();
+            }
+        });
     std::size_t stopped = 0;
     const auto stop = [&]
     {
--- a/tests/standins/upstream/upstream.hpp
+++ b/tests/standins/upstream/upstream.hpp
@@ -55,6 +55,9 @@
     /// Drains, withdraws and calls back when no flow is left.
     void stop(std::function<void()> stopped);
 
+    /// Whether an entry instance has accepted its announcement.
+    bool is_announced() const { return announcer_.is_announced(); }
+
     const upstream_counters& counters() const { return counters_; }
     const runner_counters& requests() const { return runner_.counters(); }
 
