Add boragestand-entry and a measurement of its packet rate

Cause: the router decides without I/O; a program must carry its events and effects. Change: boragestand-entry with Geneve and peer sockets, held packets, HTTP/2 requests, configuration streams from control and peers, health and load probes, metrics and log lines; programs that measure its packet rate against a bare forwarder. Designated initializers may leave members with defaults out.

--- /dev/null
+++ b/src/boragestand-entry/control_link.cpp
@@ -0,0 +1,86 @@
+#include "control_link.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace boragestand::entry
+{
+
+namespace
+{
+
+constexpr duration report_interval = std::chrono::seconds(5);
+constexpr duration request_timeout = std::chrono::seconds(2);
+
+} // namespace
+
+control_link::control_link(instance_id self, std::uint64_t incarnation,
+                           transport::main_loop& loop,
+                           transport::timer_service& timers,
+                           const std::vector<transport::endpoint>& control,
+                           acknowledged on_acknowledged)
+    : self_(self)
+    , incarnation_(incarnation)
+    , on_acknowledged_(std::move(on_acknowledged))
+    , timer_(
+          timers.every(report_interval, [this](time_point) { send_report(); }))
+{
+    for (const auto& address : control)
+    {
+        clients_.push_back(
+            std::make_unique<transport::http2_client>(loop, timers, address));
+    }
+}
+
+void control_link::report_revision(std::uint64_t revision)
+{
+    revision_ = revision;
+    send_report();
+}
+
+void control_link::request_director(
+    const coordination::director_request& request,
+    const std::string& service_name)
+{
+    const nlohmann::json body{{"instance", self_.value},
+                              {"service", service_name},
+                              {"episode", request.episode},
+                              {"reason", request.reason}};
+    try_director(request, body.dump(), 0);
+}
+
+void control_link::send_report()
+{
+    const nlohmann::json body{{"instance", self_.value},
+                              {"incarnation", incarnation_},
+                              {"revision", revision_}};
+    for (const auto& client : clients_)
+    {
+        client->request(
+            {.method = "POST", .path = "/v1/revisions", .body = body.dump()},
+            request_timeout, [](const result<transport::http_response>&) {});
+    }
+}
+
+void control_link::try_director(coordination::director_request request,
+                                const std::string& body, std::size_t attempt)
+{
+    if (attempt >= clients_.size())
+    {
+        return;
+    }
+    clients_[attempt]->request(
+        {.method = "POST", .path = "/v1/director-requests", .body = body},
+        request_timeout,
+        [this, request, body,
+         attempt](const result<transport::http_response>& answer)
+        {
+            if (answer && answer->status / 100 == 2)
+            {
+                on_acknowledged_(request.service, request.episode);
+                return;
+            }
+            try_director(request, body, attempt + 1);
+        });
+}
+
+} // namespace boragestand::entry
--- /dev/null
+++ b/src/boragestand-entry/entry_program.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "configuration_follower.hpp"
+#include "configuration_publisher.hpp"
+#include "control_link.hpp"
+#include "coordination/coordination.hpp"
+#include "endpoint_prober.hpp"
+#include "entry_log.hpp"
+#include "entry_metrics.hpp"
+#include "entry_options.hpp"
+#include "http_service.hpp"
+#include "packet_port.hpp"
+#include "peer_port.hpp"
+#include "transport/transport.hpp"
+
+#include <memory>
+
+namespace boragestand::entry
+{
+
+/// One entry instance: carries events to the router and its effects out.
+class entry_program
+{
+public:
+    /// Opens all sockets; error_kind::unavailable if one cannot be bound.
+    static result<std::unique_ptr<entry_program>>
+    open(transport::main_loop& loop, transport::timer_service& timers,
+         const entry_options& options, settings::event_log& log);
+
+    entry_program(transport::main_loop& loop, transport::timer_service& timers,
+                  const entry_options& options, settings::event_log& log,
+                  transport::udp_socket packets, transport::udp_socket peers);
+
+    /// Starts a planned stop; the loop quits when it is complete.
+    void request_stop();
+
+private:
+    result<void> listen(const transport::endpoint& local);
+    http_service_hooks hooks();
+    void step(decltype(coordination::router_event::what) what);
+    void perform(const coordination::send_to_instance& effect);
+    void perform(const coordination::release_held& effect);
+    void perform(const coordination::request_director& effect);
+    void perform(const coordination::member_changed& effect);
+    void perform(const coordination::fetch_configuration& effect);
+    void perform(const coordination::deliver_answer& effect);
+    void perform(const coordination::discard_answer& effect);
+    void perform(const coordination::stop_completed& effect);
+    void perform(const coordination::decision_noted& effect);
+    void upstream_announced(const upstream_announcement& announcement);
+    void upstream_withdrawn(service_id service, std::string_view name);
+    void configuration_received(
+        const std::shared_ptr<const state::configuration>& configuration);
+
+    transport::main_loop& loop_;
+    transport::timer_service& timers_;
+    entry_options options_;
+    settings::event_log& event_log_;
+    entry_log log_;
+    entry_metrics metrics_;
+    coordination::flow_router router_;
+    packet_port packets_;
+    peer_port peers_;
+    endpoint_prober prober_;
+    configuration_publisher publisher_;
+    control_link control_;
+    configuration_follower follower_;
+    http_service service_;
+    std::unique_ptr<transport::http2_server> server_;
+    transport::subscription tick_timer_;
+    bool stopping_{false};
+};
+
+} // namespace boragestand::entry
--- /dev/null
+++ b/src/boragestand-entry/frame.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "base/base.hpp"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace boragestand::entry
+{
+
+/// The first frame of a buffer: a 4-byte big-endian length and a payload.
+struct frame_view
+{
+    bool complete{false};
+    std::string_view payload; ///< valid while the buffer is not changed
+    std::size_t size{0};      ///< bytes of the whole frame
+};
+
+/// Reads the first frame; error_kind::malformed_message if its length is over
+/// the limit of a configuration update.
+result<frame_view> next_frame(std::string_view buffer);
+
+/// A payload with its length before it.
+std::string make_frame(std::string_view payload);
+
+} // namespace boragestand::entry
--- /dev/null
+++ b/src/boragestand-entry/held_packets.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "coordination/coordination.hpp"
+
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace boragestand::entry
+{
+
+/// A caller's packet that waits for a decision of the router.
+struct held_packet
+{
+    protocol::geneve_header header;
+    protocol::inner_packet summary;
+    std::vector<std::byte> bytes; ///< the inner packet
+};
+
+/// Packets under their hold tickets, bounded in bytes.
+class held_packets
+{
+public:
+    /// capacity is the sum of the sizes of held packets, in bytes.
+    explicit held_packets(std::size_t capacity) : capacity_(capacity) {}
+
+    /// Gives the ticket for the next packet. It is used up only by keep().
+    coordination::hold_ticket next_ticket() const { return {next_}; }
+
+    /// Keeps a packet under next_ticket(). Returns false if there is no room.
+    bool keep(const protocol::geneve_header& header,
+              const protocol::inner_packet& summary,
+              std::span<const std::byte> bytes);
+
+    /// Removes and returns the packet of a ticket, if it is held.
+    std::optional<held_packet> take(coordination::hold_ticket ticket);
+
+    /// Packets held now.
+    std::size_t count() const { return packets_.size(); }
+
+private:
+    std::size_t capacity_;
+    std::size_t used_{0};
+    std::uint64_t next_{1};
+    std::unordered_map<std::uint64_t, held_packet> packets_;
+};
+
+} // namespace boragestand::entry
--- /dev/null
+++ b/src/boragestand-entry/http_service.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "configuration_publisher.hpp"
+#include "coordination/coordination.hpp"
+#include "transport/transport.hpp"
+#include "upstream_announcement.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace boragestand::entry
+{
+
+/// What the HTTP/2 requests of an entry instance are answered from.
+struct http_service_hooks
+{
+    /// Takes an announcement that was checked.
+    std::function<void(const upstream_announcement&)> announced;
+    /// Takes the withdrawal of the upstream with this name.
+    std::function<void(service_id, std::string_view)> withdrawn;
+    /// Starts a planned stop.
+    std::function<void()> drain;
+    /// Changes the level of the log.
+    std::function<result<void>(const std::string&)> set_log_level;
+    /// Metrics in the Prometheus text format.
+    std::function<std::string()> metrics;
+    /// Status as a JSON object.
+    std::function<std::string()> status;
+    /// The configuration in effect.
+    std::function<std::shared_ptr<const state::configuration>()> configuration;
+    /// Wall-clock time, which orders announcements without a sequence.
+    std::function<wall_time()> wall_now;
+};
+
+/// Answers the HTTP/2 requests of upstreams, peers and operators.
+class http_service
+{
+public:
+    using exchange = std::shared_ptr<transport::http_exchange>;
+
+    http_service(data_centre_id data_centre, configuration_publisher& publisher,
+                 http_service_hooks hooks);
+
+    /// Answers one request.
+    void handle(const transport::http_request& request, const exchange& answer);
+
+private:
+    void announce(const transport::http_request& request,
+                  std::string_view service_and_name, const exchange& answer);
+    void withdraw(std::string_view service_and_name, const exchange& answer);
+    void stream_configuration(std::string_view path, const exchange& answer);
+    void change_log_level(const std::string& body, const exchange& answer);
+    result<const state::service*> find_service(std::string_view name) const;
+
+    data_centre_id data_centre_;
+    configuration_publisher& publisher_;
+    http_service_hooks hooks_;
+};
+
+} // namespace boragestand::entry
