--- a/src/coordination/agreement_node.cpp
+++ b/src/coordination/agreement_node.cpp
@@ -117,8 +117,11 @@
 void agreement_node::handle(const message_received& input, time_point now)
 {
     const auto& envelope = input.envelope;
-    // A message to another identity was meant for a disk that is lost.
-    if (envelope.to != core_.self() || group().is_retired(envelope.from))
+    // A message to another identity was meant for a disk that is lost. Only a
+    // committed removal counts: one that is replaced must not make a replica
+    // deaf to the leader that replaces it.
+    if (envelope.to != core_.self() ||
+        committed_group().is_retired(envelope.from))
     {
         return;
     }
--- /dev/null
+++ b/tests/agreement/simulated_group.hpp
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "simulated_replica.hpp"
+
+#include <functional>
+
+namespace boragestand::testing
+{
+
+/// How the simulated network treats messages.
+struct network_conditions
+{
+    double loss{0};
+    double duplication{0};
+    duration least_delay{std::chrono::milliseconds(1)};
+    duration most_delay{std::chrono::milliseconds(4)};
+};
+
+/// A group of simulated replicas with time and network from one seed. Checks
+/// with each event that no two replicas lead one term, that a leader holds all
+/// that is committed and that committed entries never differ; the first
+/// violation is kept.
+class simulated_group : private replica_observer
+{
+public:
+    simulated_group(std::uint64_t seed,
+                    coordination::agreement_settings settings);
+    ~simulated_group() override;
+
+    /// Creates and starts the founding members.
+    void found(const std::vector<std::uint32_t>& instances);
+
+    /// Starts an instance with an empty disk that is no member.
+    void spawn(std::uint32_t instance);
+
+    /// Lets time pass, at most until the condition holds. False if it never
+    /// did. The condition is tested after each event.
+    bool run(duration span, const std::function<bool()>& condition = {});
+
+    /// Submits a command; the token names the answer.
+    std::uint64_t propose(std::uint32_t instance, const std::string& command);
+    std::uint64_t change(std::uint32_t instance,
+                         coordination::membership_change change);
+    std::uint64_t read(std::uint32_t instance);
+    void hand_over(std::uint32_t instance);
+    void freeze(std::uint32_t instance) { at(instance).freeze(); }
+    void thaw(std::uint32_t instance) { at(instance).thaw(now_); }
+    void restart(std::uint32_t instance);
+
+    /// Asks an instance to start an election, until it leads.
+    bool elect(std::uint32_t instance, duration limit);
+
+    /// Separates instances; a message passes only within a side. Instances
+    /// that are on no side reach all.
+    void cut(const std::vector<std::set<std::uint32_t>>& sides)
+    {
+        sides_ = sides;
+    }
+    void heal() { sides_.clear(); }
+    void drop_in_flight() { in_flight_.clear(); }
+    void set_conditions(const network_conditions& value)
+    {
+        conditions_ = value;
+    }
+
+    simulated_replica& at(std::uint32_t instance);
+    const std::map<std::uint32_t, std::unique_ptr<simulated_replica>>&
+    replicas() const
+    {
+        return replicas_;
+    }
+
+    /// The leader of the highest term among running replicas, or null.
+    simulated_replica* leader() const;
+
+    /// The answer to a token, none if it has not come.
+    std::optional<result<std::uint64_t>> answer(std::uint64_t token) const;
+
+    /// Commands that were answered as committed.
+    const std::set<std::string>& acknowledged() const { return acknowledged_; }
+
+    /// Index of the last entry that any replica has applied.
+    std::uint64_t last_committed() const;
+
+    /// First violation of an invariant, empty if there was none.
+    const std::string& violation() const { return violation_; }
+
+    /// Compares the logs of all replicas with each other.
+    void check_log_matching();
+
+private:
+    void sent(std::uint32_t from,
+              const coordination::send_message& message) override;
+    void applied(std::uint32_t instance, const protocol::log_entry& entry,
+                 const std::string& state) override;
+    void restored(std::uint32_t instance,
+                  const protocol::agreement_snapshot& snapshot) override;
+    void led(std::uint32_t instance, std::uint64_t term) override;
+    void answered(std::uint64_t token,
+                  const result<std::uint64_t>& outcome) override;
+    void broke(std::uint32_t instance, const std::string& what) override;
+
+    std::unique_ptr<simulated_replica> make_replica(std::uint32_t instance);
+    void violate(const std::string& what);
+    void deliver(const coordination::send_message& message);
+    bool connected(std::uint32_t from, std::uint32_t to) const;
+    void tick_all();
+    void check_promotion(const protocol::log_entry& entry);
+    void schedule(const coordination::send_message& message);
+
+    struct packet
+    {
+        std::uint32_t from;
+        coordination::send_message message;
+    };
+
+    random_sequence random_;
+    coordination::agreement_settings settings_;
+    network_conditions conditions_;
+    time_point now_{std::chrono::seconds(1)};
+    time_point next_tick_{now_};
+    std::multimap<time_point, packet> in_flight_;
+    std::vector<std::set<std::uint32_t>> sides_;
+    std::map<std::uint32_t, std::unique_ptr<simulated_replica>> replicas_;
+    std::map<std::uint64_t, protocol::log_entry> committed_;
+    std::map<std::uint64_t, std::string> states_;
+    std::map<std::uint64_t, std::uint32_t> leaders_;
+    std::map<std::uint64_t, std::string> proposed_;
+    std::map<std::uint64_t, result<std::uint64_t>> answers_;
+    std::set<std::string> acknowledged_;
+    std::uint64_t next_token_{1};
+    std::string violation_;
+};
+
+} // namespace boragestand::testing
--- /dev/null
+++ b/tests/agreement/simulated_replica.cpp
@@ -0,0 +1,263 @@
+#include "simulated_replica.hpp"
+
+#include <stdexcept>
+
+namespace boragestand::testing
+{
+
+namespace
+{
+
+void must(const result<void>& outcome)
+{
+    if (!outcome)
+    {
+        throw std::runtime_error(outcome.error().message);
+    }
+}
+
+constexpr std::uint64_t test_segment_size = 256;
+
+} // namespace
+
+simulated_replica::simulated_replica(std::uint32_t instance, std::uint64_t seed,
+                                     coordination::agreement_settings settings,
+                                     replica_observer& observer)
+    : instance_(instance)
+    , seed_(seed)
+    , settings_(settings)
+    , observer_(observer)
+    , disk_(seed)
+{
+}
+
+void simulated_replica::create(
+    const std::optional<protocol::replica_group>& founders)
+{
+    identity_ = replica_id{(std::uint64_t{instance_} << 32) | generation_};
+    state::hard_state_store hard(disk_);
+    must(hard.create(identity_));
+    if (founders)
+    {
+        must(state::snapshot_store(disk_).save({{}, *founders, {}}));
+    }
+}
+
+void simulated_replica::start()
+{
+    hard_ = std::make_unique<state::hard_state_store>(disk_);
+    snapshots_ = std::make_unique<state::snapshot_store>(disk_);
+    const auto condition = hard_->examine();
+    auto snapshot = snapshots_->load();
+    if (!condition || !snapshot)
+    {
+        throw std::runtime_error(condition ? snapshot.error().message
+                                           : condition.error().message);
+    }
+    state::log_recovery recovery;
+    const auto last = *snapshot ? (*snapshot)->last : protocol::log_position{};
+    auto log =
+        state::durable_log::open(disk_, last, recovery, test_segment_size);
+    if (!log)
+    {
+        throw std::runtime_error(log.error().message);
+    }
+    log_ = std::move(*log);
+    entries_.clear();
+    for (const auto& entry : recovery.entries)
+    {
+        entries_.emplace(entry.index, entry);
+    }
+    restore(*snapshot ? (*snapshot)->data : std::string());
+    node_ = std::make_unique<coordination::agreement_node>(
+        coordination::agreement_start{hard_->current(), *snapshot,
+                                      recovery.entries, address(), ++seed_},
+        settings_);
+}
+
+void simulated_replica::kill()
+{
+    node_.reset();
+    waiting_.clear();
+    frozen_ = false;
+    wanted_.reset();
+    disk_.lose_unsynced();
+}
+
+void simulated_replica::lose_disk()
+{
+    if (running())
+    {
+        kill();
+    }
+    disk_.lose_all();
+    previous_identity_ = identity_;
+    ++generation_;
+    create(std::nullopt);
+    start();
+}
+
+void simulated_replica::thaw(time_point now)
+{
+    frozen_ = false;
+    auto waiting = std::move(waiting_);
+    waiting_.clear();
+    for (auto& event : waiting)
+    {
+        event.now = now;
+        step(event);
+    }
+}
+
+void simulated_replica::step(const coordination::agreement_event& event)
+{
+    if (!running())
+    {
+        return;
+    }
+    if (frozen_)
+    {
+        waiting_.push_back(event);
+        return;
+    }
+    try
+    {
+        carry_out(node_->step(event), event.now);
+    }
+    catch (const crash_point&)
+    {
+        kill();
+    }
+}
+
+void simulated_replica::carry_out(
+    const coordination::agreement_effects& effects, time_point now)
+{
+    for (const auto& effect : effects)
+    {
+        std::visit([this](const auto& value) { run(value); }, effect);
+    }
+    if (wanted_)
+    {
+        const auto index = *wanted_;
+        wanted_.reset();
+        carry_out(
+            node_->step(
+                {now, coordination::snapshot_taken{index, encoded_state()}}),
+            now);
+    }
+}
+
+bool simulated_replica::leads() const
+{
+    return running() && node_->role() == coordination::agreement_role::leader;
+}
+
+bool simulated_replica::holds(const std::string& command) const
+{
+    return known_.contains(command);
+}
+
+void simulated_replica::run(const coordination::persist_hard_state& effect)
+{
+    must(hard_->save(effect.value));
+}
+
+void simulated_replica::run(const coordination::persist_snapshot& effect)
+{
+    const auto last = effect.snapshot->last;
+    must(snapshots_->save(*effect.snapshot));
+    must(effect.installed ? log_->reset(last) : log_->compact(last.index));
+    if (effect.installed)
+    {
+        entries_.clear();
+    }
+    entries_.erase(entries_.begin(), entries_.upper_bound(last.index));
+}
+
+void simulated_replica::run(const coordination::persist_entries& effect)
+{
+    must(log_->append(effect.entries));
+    entries_.erase(entries_.lower_bound(effect.entries.front().index),
+                   entries_.end());
+    for (const auto& entry : effect.entries)
+    {
+        entries_.emplace(entry.index, entry);
+    }
+}
+
+void simulated_replica::run(const coordination::send_message& effect)
+{
+    observer_.sent(instance_, effect);
+}
+
+void simulated_replica::run(const coordination::restore_snapshot& effect)
+{
+    restore(effect.snapshot->data);
+    observer_.restored(instance_, *effect.snapshot);
+}
+
+void simulated_replica::run(const coordination::apply_entry& effect)
+{
+    const auto& entry = effect.entry;
+    if (entry.kind == protocol::entry_kind::command &&
+        known_.insert(entry.data).second)
+    {
+        commands_.push_back(entry.data);
+    }
+    observer_.applied(instance_, entry, encoded_state());
+}
+
+void simulated_replica::run(const coordination::proposal_done& effect)
+{
+    observer_.answered(effect.token, effect.index);
+}
+
+void simulated_replica::run(const coordination::read_done& effect)
+{
+    observer_.answered(effect.token, effect.index);
+}
+
+void simulated_replica::run(const coordination::snapshot_wanted& effect)
+{
+    wanted_ = effect.index;
+}
+
+void simulated_replica::run(const coordination::role_changed& effect)
+{
+    if (effect.role == coordination::agreement_role::leader)
+    {
+        observer_.led(instance_, effect.term);
+    }
+}
+
+void simulated_replica::run(const coordination::invariant_broken& effect)
+{
+    observer_.broke(instance_, effect.what);
+}
+
+void simulated_replica::restore(const std::string& data)
+{
+    commands_.clear();
+    known_.clear();
+    std::size_t begin = 0;
+    while (begin < data.size())
+    {
+        const auto end = data.find('\n', begin);
+        commands_.push_back(data.substr(begin, end - begin));
+        known_.insert(commands_.back());
+        begin = end + 1;
+    }
+}
+
+std::string simulated_replica::encoded_state() const
+{
+    std::string text;
+    for (const auto& command : commands_)
+    {
+        text += command + "\n";
+    }
+    return text;
+}
+
+} // namespace boragestand::testing
