Test agreement_node at each write and over random schedules

A RapidCheck property runs random schedules of kills, crash points, partitions, freezes, disk losses and membership changes over a network with loss, repetition and reordering, then lets the group settle.

--- a/tests/agreement/simulated_group.hpp
+++ b/tests/agreement/simulated_group.hpp
@@ -18,8 +18,8 @@
 
 /// A group of simulated replicas with time and network from one seed. Checks
 /// with each event that no two replicas lead one term, that a leader holds all
-/// that is committed and that committed entries never differ; the first
-/// violation is kept.
+/// that was committed in earlier terms and that committed entries never differ;
+/// the first violation is kept.
 class simulated_group : private replica_observer
 {
 public:
@@ -85,9 +85,16 @@
     /// First violation of an invariant, empty if there was none.
     const std::string& violation() const { return violation_; }
 
+    /// The group that the last committed membership entry set.
+    const protocol::replica_group& committed_group() const { return group_; }
+
     /// Compares the logs of all replicas with each other.
     void check_log_matching();
 
+    /// Ends all disturbances and waits until every member holds the same state
+    /// with all acknowledged commands. Empty on success, else what is wrong.
+    std::string settle();
+
 private:
     void sent(std::uint32_t from,
               const coordination::send_message& message) override;
@@ -103,6 +110,7 @@
     std::unique_ptr<simulated_replica> make_replica(std::uint32_t instance);
     void violate(const std::string& what);
     void deliver(const coordination::send_message& message);
+    bool is_settled(const std::string& marker);
     bool connected(std::uint32_t from, std::uint32_t to) const;
     void tick_all();
     void check_promotion(const protocol::log_entry& entry);
@@ -123,6 +131,8 @@
     std::vector<std::set<std::uint32_t>> sides_;
     std::map<std::uint32_t, std::unique_ptr<simulated_replica>> replicas_;
     std::map<std::uint64_t, protocol::log_entry> committed_;
+    std::map<std::uint64_t, std::uint64_t> commit_terms_;
+    protocol::replica_group group_;
     std::map<std::uint64_t, std::string> states_;
     std::map<std::uint64_t, std::uint32_t> leaders_;
     std::map<std::uint64_t, std::string> proposed_;
--- a/tests/agreement/simulated_replica.cpp
+++ b/tests/agreement/simulated_replica.cpp
@@ -44,6 +44,18 @@
 }
 
 void simulated_replica::start()
+{
+    try
+    {
+        recover();
+    }
+    catch (const crash_point&)
+    {
+        kill();
+    }
+}
+
+void simulated_replica::recover()
 {
     hard_ = std::make_unique<state::hard_state_store>(disk_);
     snapshots_ = std::make_unique<state::snapshot_store>(disk_);
--- a/tests/agreement/simulated_replica.hpp
+++ b/tests/agreement/simulated_replica.hpp
@@ -46,7 +46,7 @@
     /// Gives the empty disk its identity; a founding member gets the group.
     void create(const std::optional<protocol::replica_group>& founders);
 
-    /// Starts the process from the disk.
+    /// Starts the process from the disk; it may stop at a crash point again.
     void start();
 
     /// Stops the process at once; unsynced data is lost.
@@ -82,6 +82,7 @@
     }
 
 private:
+    void recover();
     void carry_out(const coordination::agreement_effects& effects,
                    time_point now);
     void run(const coordination::persist_hard_state& effect);
--- a/tests/support/crash_disk.hpp
+++ b/tests/support/crash_disk.hpp
@@ -98,6 +98,9 @@
     /// next one.
     void stop_at(std::uint64_t operation) { stop_at_ = operation; }
 
+    /// Withdraws stop_at().
+    void stop_never() { stop_at_.reset(); }
+
     /// Restarts after a stop: of what was not synced, a random part is lost.
     void lose_unsynced()
     {
