--- a/src/state/configuration_update.cpp
+++ b/src/state/configuration_update.cpp
@@ -196,8 +196,8 @@
 }
 
 result<std::shared_ptr<const configuration>>
-apply(const configuration_update& update,
-      const std::shared_ptr<const configuration>& current)
+apply_update(const configuration_update& update,
+             const std::shared_ptr<const configuration>& current)
 {
     if (const auto* snapshot = std::get_if<configuration>(&update))
     {
--- a/src/state/configuration_update.hpp
+++ b/src/state/configuration_update.hpp
@@ -64,8 +64,8 @@
 /// error_kind::stale_revision if a delta starts at another revision than the
 /// current one, in which case the receiver asks for the stream again.
 result<std::shared_ptr<const configuration>>
-apply(const configuration_update& update,
-      const std::shared_ptr<const configuration>& current);
+apply_update(const configuration_update& update,
+             const std::shared_ptr<const configuration>& current);
 
 /// Encodes an update with msgpack.
 std::vector<std::byte>
--- a/src/state/state.hpp
+++ b/src/state/state.hpp
@@ -4,6 +4,8 @@
 /// tables and files that hold the state of a process.
 
 #include "state/configuration.hpp"
+#include "state/configuration_diff.hpp"
+#include "state/configuration_json.hpp"
 #include "state/configuration_update.hpp"
 #include "state/control_command.hpp"
 #include "state/control_state.hpp"
