Add the shared HTTP form of commands, outcomes and status

Cause: boragestand-control and boragestandctl have to agree on paths, bodies and errors; the design had no request for draining an upstream.

--- a/src/state/state.hpp
+++ b/src/state/state.hpp
@@ -3,12 +3,14 @@
 /// Public header of the state library: the replicated configuration and the
 /// tables and files that hold the state of a process.
 
+#include "state/command_http.hpp"
 #include "state/configuration.hpp"
 #include "state/configuration_diff.hpp"
 #include "state/configuration_json.hpp"
 #include "state/configuration_update.hpp"
 #include "state/control_command.hpp"
 #include "state/control_state.hpp"
+#include "state/control_status.hpp"
 #include "state/durable_log.hpp"
 #include "state/file_disk.hpp"
 #include "state/flow_table.hpp"
