--- /dev/null
+++ b/src/boragestandctl/note_commands.cpp
@@ -0,0 +1,172 @@
+#include "commands.hpp"
+
+#include "settings/settings.hpp"
+
+#include <charconv>
+
+namespace boragestand::ctl
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+result<std::string> read_note(const std::string& file)
+{
+    return settings::read_text_file(file, state::max_note_size);
+}
+
+/// The configuration in effect at the instance that answers first.
+result<state::configuration> current_configuration(control_group& group)
+{
+    const auto response = group.ask_any({"GET", "/v1/configuration", {}, ""});
+    if (!response)
+    {
+        return tl::unexpected(response.error());
+    }
+    if (!is_success(*response))
+    {
+        return tl::unexpected(state::error_of(*response));
+    }
+    return state::configuration_from_json(response->body);
+}
+
+command_report
+report_of_changes(const state::configuration& current,
+                  const std::vector<state::configuration_change>& changes)
+{
+    command_report report;
+    report.json = {{"revision", current.revision}, {"changes", json::array()}};
+    report.text =
+        "against revision " + std::to_string(current.revision) + ":\n";
+    for (const state::configuration_change& each : changes)
+    {
+        report.text += to_string(each) + "\n";
+        report.json["changes"].push_back(to_string(each));
+    }
+    if (changes.empty())
+    {
+        report.text += "no change\n";
+    }
+    return report;
+}
+
+command_report show_configuration(control_group& group)
+{
+    const auto current = current_configuration(group);
+    if (!current)
+    {
+        return report_of(current.error());
+    }
+    command_report report;
+    report.json = state::to_json(*current);
+    report.text = "revision " + std::to_string(current->revision) +
+                  ", newest note " + std::to_string(current->note_number) +
+                  "\n";
+    for (const auto& each : state::diff({}, *current))
+    {
+        report.text += each.object + ": " + each.details + "\n";
+    }
+    return report;
+}
+
+} // namespace
+
+command_report run_check(const invocation& call, control_group& group)
+{
+    const std::string& file = call.arguments.front();
+    const auto text = read_note(file);
+    if (!text)
+    {
+        return report_of(text.error());
+    }
+    const auto response = group.ask_any({"POST", "/v1/notes/check", {}, *text});
+    if (!response)
+    {
+        return report_of(response.error());
+    }
+    if (!is_success(*response))
+    {
+        return report_of(*response, file);
+    }
+    const json body = body_of(*response);
+    if (!body.contains("faults") || !body["faults"].is_array())
+    {
+        return report_of({error_kind::malformed_message,
+                          "the answer to the check lists no faults"});
+    }
+    if (body["faults"].empty())
+    {
+        return {0, file + ": no faults\n", {{"faults", json::array()}}};
+    }
+    return report_of(
+        state::json_response(
+            answer_for(error_kind::invalid_release_note).http_status,
+            {{"error", answer_for(error_kind::invalid_release_note).name},
+             {"message", "the note does not fit the configuration"},
+             {"faults", body["faults"]}}),
+        file);
+}
+
+command_report run_diff(const invocation& call, control_group& group)
+{
+    const std::string& file = call.arguments.front();
+    const auto text = read_note(file);
+    if (!text)
+    {
+        return report_of(text.error());
+    }
+    const auto current = current_configuration(group);
+    if (!current)
+    {
+        return report_of(current.error());
+    }
+    const auto checked = state::check_release_note(*text, *current);
+    if (!checked)
+    {
+        return report_of(checked.error(), file);
+    }
+    return report_of_changes(*current, state::diff(*current, checked->next));
+}
+
+command_report run_show(const invocation& call, control_group& group)
+{
+    if (call.arguments.empty())
+    {
+        return show_configuration(group);
+    }
+    const std::string& number = call.arguments.front();
+    std::uint64_t value = 0;
+    const char* const end = number.data() + number.size();
+    const auto [next, status] = std::from_chars(number.data(), end, value);
+    if (status != std::errc() || next != end)
+    {
+        return report_of({error_kind::invalid_argument,
+                          "expected the number of a note, found " + number});
+    }
+    const auto response =
+        group.ask_any({"GET", "/v1/notes/" + std::to_string(value), {}, ""});
+    if (!response)
+    {
+        return report_of(response.error());
+    }
+    if (!is_success(*response))
+    {
+        return report_of(*response, "note " + number);
+    }
+    command_report report;
+    report.json = body_of(*response);
+    const std::string text = report.json.value("text", std::string());
+    report.text = "# note " + number + ", revision " +
+                  std::to_string(number_in(report.json, "revision")) +
+                  ", digest " + report.json.value("digest", std::string()) +
+                  "\n" + text;
+    if (text.empty())
+    {
+        report.text += "# the text is no longer held\n";
+    }
+    return report;
+}
+
+} // namespace boragestand::ctl
--- a/src/state/command_http.cpp
+++ b/src/state/command_http.cpp
@@ -302,6 +302,14 @@
     return json_response(status_ok, {{"faults", json_of(faults)}});
 }
 
+http_response to_http(const accepted_note& note)
+{
+    return json_response(status_ok, {{"number", note.number},
+                                     {"revision", note.revision},
+                                     {"digest", note.digest},
+                                     {"text", note.text}});
+}
+
 error error_of(const http_response& response)
 {
     const json body = json::parse(response.body, nullptr, false);
--- a/src/state/command_http.hpp
+++ b/src/state/command_http.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "state/control_command.hpp"
+#include "state/control_state.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -47,6 +47,10 @@
 transport::http_response
 check_response(const std::vector<document::fault>& faults);
 
+/// The answer to GET /v1/notes/N: number, revision, digest and text, which is
+/// empty if it is no longer held.
+transport::http_response to_http(const accepted_note& note);
+
 /// The error of a response whose status is not 2xx.
 error error_of(const transport::http_response& response);
 
