--- a/src/boragestandctl/commands.cpp
+++ b/src/boragestandctl/commands.cpp
@@ -54,8 +54,9 @@
 
 constexpr std::array<command_entry, 9> commands{{
     {"submit", "FILE [--no-wait]",
-     "Submit a release note, wait until it is in effect, and say where.", 1, 1,
-     &describe_submit, &run_submit},
+     "Submit a release note, wait until it is in effect, and say where. Exits "
+     "with 1 if it is accepted, but not in effect everywhere.",
+     1, 1, &describe_submit, &run_submit},
     {"check", "FILE",
      "Check a release note against the configuration without a change.", 1, 1,
      &describe_nothing, &run_check},
--- a/src/boragestandctl/submit_command.cpp
+++ b/src/boragestandctl/submit_command.cpp
@@ -11,6 +11,11 @@
 
 using nlohmann::json;
 
+/// Exit status of a note that is accepted, but not in effect everywhere. The
+/// statuses of error kinds start at 2, and none of them tells that the note is
+/// accepted.
+constexpr int partly_in_effect = 1;
+
 std::string names_text(const std::vector<state::status_entry>& entries)
 {
     std::string text;
@@ -44,7 +49,7 @@
     }
     if (all == 0 || !split.missing.empty())
     {
-        report.exit_status = answer_for(error_kind::unavailable).exit_status;
+        report.exit_status = partly_in_effect;
     }
 }
 
