Cover three guards that the tests did not reach

53 guards of the directory, health, placement, hold queue, rules, running flows and director gate were each taken out in turn; the tests noticed 50. The part of a share for each owner, one episode at a time, and a configuration of the same revision went unnoticed. The tests now fail for each of the 53.

--- a/tests/traffic/admission_test.cpp
+++ b/tests/traffic/admission_test.cpp
@@ -202,21 +202,22 @@
     {
         policy.admit(arrival_of(flow), at(20));
     }
-    const auto run_slots = [&policy](int until)
+    const auto run_slots = [&policy](int from, int until)
     {
-        for (int now = 100; now <= until; now += 100)
+        for (int now = from; now <= until; now += 100)
         {
             policy.note(evidence_of(1, id_of(0), flow_progressed{}), at(now));
             policy.note(evidence_of(2, id_of(0), flow_progressed{}), at(now));
             poll(policy, now);
         }
     };
-    run_slots(2400);
+    run_slots(100, 2400);
     EXPECT_TRUE(policy.director_requests(at(2400)).empty());
-    run_slots(2600);
+    run_slots(2500, 2600);
     const auto first = policy.director_requests(at(2600));
     ASSERT_EQ(first.size(), 1u);
-    EXPECT_TRUE(policy.director_requests(at(2700)).empty());
+    run_slots(2700, 4500);
+    EXPECT_TRUE(policy.director_requests(at(4500)).empty());
     EXPECT_EQ(policy.director_requests(at(4600)), first);
     policy.director_acknowledged(test_service, first[0].episode + 1);
     EXPECT_EQ(policy.director_requests(at(6600)), first);
@@ -261,6 +262,7 @@
     }
     // With a peer that places too, this owner has half of the share.
     policy.apply(instance_id{2}, protocol::load_report{}, at(2));
+    policy.report(at(2));
     policy.note(evidence_of(1, id_of(0), flow_ended{}), at(3));
     policy.note(evidence_of(2, id_of(0), flow_ended{}), at(3));
     EXPECT_TRUE(poll(policy, 4).empty());
--- a/tests/traffic/upstream_directory_test.cpp
+++ b/tests/traffic/upstream_directory_test.cpp
@@ -87,6 +87,8 @@
         {service_id{8}, "md-2", std::nullopt, true},
     };
     put(policy, configuration);
+    put(policy, configuration_of(2)); // not newer: without effect
+    put(policy, configuration_of(1));
     policy.apply(record_of(0, 2), at(5));
     policy.apply(record_of(1, 2), at(5));
     std::vector<protocol::settled_upstream> expected{{id_of(1), 40},
