Add boragestand-model with imbalance, peak and blocking

Compares the designs over the same demand: callers, network delays, six owners with delayed load reports, 14 upstreams of two slots. Decision code is driven as it is; the table designs live in the model only.

Held flows are released so late that their answers miss the deadline, and slots stay empty between the end of a request and the owner's notice of it.

--- /dev/null
+++ b/src/boragestand-model/load_model.cpp
@@ -0,0 +1,270 @@
+#include "load_model.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace boragestand::model
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// Initial retransmission timeout of TCP (RFC 6298), doubled with each try.
+constexpr duration first_syn_timeout = 1s;
+constexpr unsigned most_syns = 4;
+
+// Acknowledgements of a long answer reach the owner this often.
+constexpr duration progress_interval = 100ms;
+
+} // namespace
+
+load_model::load_model(const load_options& options,
+                       std::vector<model_request> demand)
+    : options_(options), flows_(demand.size()), open_(upstream_count, 0)
+{
+    for (model_request& request : demand)
+    {
+        outcomes_.push_back({request, {}, false, {}, false});
+    }
+    for (unsigned index = 0; index < upstream_count; ++index)
+    {
+        ids_.push_back(record_of(index).upstream);
+        auto& added = upstreams_.emplace_back(
+            std::make_unique<model_upstream>(events_, slots_per_upstream));
+        added->on_progress([this](std::uint64_t flow) { started(flow); },
+                           [this](std::uint64_t flow) { answered(flow); });
+    }
+    design_ =
+        make_placement_design(options.design, events_, options.delays,
+                              {[this](std::uint64_t flow, upstream_id upstream)
+                               { placed(flow, upstream); },
+                               [this](std::uint64_t flow) { dropped(flow); },
+                               [this](std::uint64_t flow)
+                               {
+                                   outcomes_[flow].refused = true;
+                               }});
+}
+
+void load_model::run(duration length, duration interval,
+                     const std::function<void()>& observe)
+{
+    for (std::uint64_t flow = 0; flow < outcomes_.size(); ++flow)
+    {
+        const duration sent = outcomes_[flow].request.sent.time_since_epoch();
+        events_.after(sent, [this, flow] { send_syn(flow); });
+    }
+    events_.every(1s, [this] { poll_endpoints(); });
+    events_.every(interval, observe);
+    events_.run_until(time_point(length));
+}
+
+void load_model::send_syn(std::uint64_t flow)
+{
+    ++flows_[flow].tries;
+    events_.after(options_.delays.caller + options_.delays.inside,
+                  [this, flow] { arrive(flow); });
+}
+
+void load_model::arrive(std::uint64_t flow)
+{
+    const model_request& request = outcomes_[flow].request;
+    flow_state& state = flows_[flow];
+    if (state.tries == 1)
+    {
+        state.first_arrival = events_.now();
+    }
+    coordination::flow_arrival arrival;
+    arrival.service = model_service;
+    arrival.flow_hash = request.flow_hash;
+    arrival.ticket = {flow};
+    if (options_.class_declared)
+    {
+        arrival.work = request.is_long ? protocol::request_class::long_work
+                                       : protocol::request_class::short_work;
+    }
+    if (request.deadline > duration(0))
+    {
+        arrival.time_left = std::max<duration>(
+            request.sent + request.deadline - events_.now(), 1us);
+    }
+    design_->arrive(arrival);
+}
+
+void load_model::placed(std::uint64_t flow, upstream_id upstream)
+{
+    flow_state& state = flows_[flow];
+    state.placed = true;
+    state.placed_at = events_.now();
+    state.upstream = index_of(upstream);
+    ++open_[state.upstream];
+    give_up_at_deadline(flow);
+    const auto& delays = options_.delays;
+    // SYN to the upstream, SYN-ACK to the caller, ACK with the request back.
+    const duration handshake = 2 * delays.inside + 2 * delays.caller;
+    events_.after(handshake, [this, flow, handshake]
+                  { tell(flow, coordination::flow_established{handshake}); });
+    events_.after(handshake + delays.inside,
+                  [this, flow]
+                  {
+                      const model_request& request = outcomes_[flow].request;
+                      const time_point deadline =
+                          request.deadline == duration(0)
+                              ? time_point::max()
+                              : request.sent + request.deadline;
+                      flows_[flow].queued_at = events_.now();
+                      upstreams_[flows_[flow].upstream]->arrive(
+                          flow, request.service_time, deadline);
+                  });
+    events_.after(1s,
+                  [this, flow]
+                  {
+                      if (!flows_[flow].ended)
+                      {
+                          tell(flow, coordination::flow_became_long{});
+                      }
+                  });
+}
+
+void load_model::dropped(std::uint64_t flow)
+{
+    const model_request& request = outcomes_[flow].request;
+    const flow_state& state = flows_[flow];
+    if (state.tries >= most_syns)
+    {
+        return;
+    }
+    // The nth SYN is repeated 2^n - 1 timeouts after the first one was sent.
+    const time_point again =
+        request.sent + first_syn_timeout * ((1 << state.tries) - 1);
+    if (request.deadline > duration(0) &&
+        again >= request.sent + request.deadline)
+    {
+        return;
+    }
+    events_.after(std::max(again - events_.now(), duration(0)),
+                  [this, flow] { send_syn(flow); });
+}
+
+void load_model::started(std::uint64_t flow)
+{
+    const flow_state& state = flows_[flow];
+    outcomes_[flow].started = true;
+    outcomes_[flow].waited = (state.placed_at - state.first_arrival) +
+                             (events_.now() - state.queued_at);
+    progress(flow);
+}
+
+// Answer bytes flow from the start of the service.
+void load_model::progress(std::uint64_t flow)
+{
+    const auto& delays = options_.delays;
+    events_.after(progress_interval,
+                  [this, flow, delays]
+                  {
+                      if (outcomes_[flow].answered || flows_[flow].ended)
+                      {
+                          return;
+                      }
+                      events_.after(
+                          2 * delays.caller + delays.inside, [this, flow]
+                          { tell(flow, coordination::flow_progressed{1}); });
+                      progress(flow);
+                  });
+}
+
+void load_model::answered(std::uint64_t flow)
+{
+    const auto& delays = options_.delays;
+    request_outcome& outcome = outcomes_[flow];
+    outcome.answered = events_.now() + delays.caller;
+    if (flows_[flow].ended)
+    {
+        return;
+    }
+    const duration seen = 2 * delays.caller + delays.inside;
+    events_.after(seen, [this, flow]
+                  { tell(flow, coordination::flow_progressed{1}); });
+    events_.after(seen + outcome.request.open_after_answer, [this, flow]
+                  { finish(flow, coordination::flow_end::completed); });
+}
+
+// The caller closes the connection at its deadline; the upstream finishes what
+// it has begun.
+void load_model::give_up_at_deadline(std::uint64_t flow)
+{
+    const model_request& request = outcomes_[flow].request;
+    if (request.deadline == duration(0))
+    {
+        return;
+    }
+    events_.after(request.sent + request.deadline + options_.delays.caller -
+                      events_.now(),
+                  [this, flow]
+                  {
+                      if (!outcomes_[flow].answered)
+                      {
+                          finish(flow, coordination::flow_end::cancelled);
+                      }
+                  });
+}
+
+void load_model::finish(std::uint64_t flow, coordination::flow_end end)
+{
+    flow_state& state = flows_[flow];
+    if (state.ended)
+    {
+        return;
+    }
+    state.ended = true;
+    --open_[state.upstream];
+    tell(flow, coordination::flow_ended{end, events_.now() - state.placed_at});
+}
+
+// Endpoints are asked once a second and answer with the values of that moment.
+void load_model::poll_endpoints()
+{
+    for (unsigned index = 0; index < upstream_count; ++index)
+    {
+        coordination::endpoint_report report;
+        report.service = model_service;
+        report.upstream = ids_[index];
+        report.open = open_[index];
+        report.running =
+            static_cast<std::uint16_t>(upstreams_[index]->running());
+        if (index == 0 && options_.false_load)
+        {
+            report.open = options_.false_load->first;
+            report.running = options_.false_load->second;
+        }
+        events_.after(2 * options_.delays.inside,
+                      [this, report] { design_->note(report); });
+    }
+}
+
+unsigned load_model::index_of(upstream_id upstream) const
+{
+    const auto found = std::find(ids_.begin(), ids_.end(), upstream);
+    return static_cast<unsigned>(found - ids_.begin());
+}
+
+template <typename What>
+void load_model::tell(std::uint64_t flow, What what)
+{
+    const flow_state& state = flows_[flow];
+    coordination::flow_evidence evidence;
+    evidence.service = model_service;
+    evidence.upstream = ids_[state.upstream];
+    evidence.flow_hash = outcomes_[flow].request.flow_hash;
+    evidence.what = what;
+    const bool known_long =
+        outcomes_[flow].request.is_long && options_.class_declared;
+    if (known_long || events_.now() >= state.placed_at + 1s)
+    {
+        evidence.work = protocol::request_class::long_work;
+    }
+    design_->note(evidence);
+}
+
+} // namespace boragestand::model
--- /dev/null
+++ b/src/boragestand-model/measurements.cpp
@@ -0,0 +1,16 @@
+#include "measurements.hpp"
+
+namespace boragestand::model
+{
+
+const std::vector<measurement>& measurements()
+{
+    static const std::vector<measurement> all{
+        {"imbalance", measure_imbalance},
+        {"peak", measure_peak},
+        {"blocking", measure_blocking},
+    };
+    return all;
+}
+
+} // namespace boragestand::model
--- /dev/null
+++ b/src/boragestand-model/owner_placement.cpp
@@ -0,0 +1,115 @@
+#include "owner_placement.hpp"
+
+#include <utility>
+
+namespace boragestand::model
+{
+
+using namespace std::chrono_literals;
+
+owner_placement::owner_placement(event_queue& events,
+                                 const network_delays& delays, reactions react)
+    : events_(events), delays_(delays), react_(std::move(react))
+{
+    const auto configuration =
+        std::make_shared<const state::configuration>(model_configuration());
+    for (unsigned owner = 0; owner < owner_count; ++owner)
+    {
+        auto& policy = owners_.emplace_back(instance_id{owner + 1},
+                                            coordination::traffic_settings{});
+        policy.apply(configuration, events.now(), wall_now());
+        for (unsigned index = 0; index < upstream_count; ++index)
+        {
+            policy.apply(record_of(index), events.now());
+        }
+    }
+    for (unsigned owner = 0; owner < owner_count; ++owner)
+    {
+        // Owners do not tick at the same moment.
+        events_.after(owner * 1700us, [this, owner]
+                      { events_.every(10ms, [this, owner] { poll(owner); }); });
+        events_.after(
+            owner * 41ms, [this, owner]
+            { events_.every(250ms, [this, owner] { send_report(owner); }); });
+    }
+}
+
+void owner_placement::arrive(const coordination::flow_arrival& arrival)
+{
+    auto& policy = owners_[owner_of(arrival.flow_hash)];
+    react(arrival.ticket.value, policy.admit(arrival, events_.now()));
+}
+
+void owner_placement::note(const coordination::flow_evidence& evidence)
+{
+    const unsigned owner = owner_of(evidence.flow_hash);
+    owners_[owner].note(evidence, events_.now());
+    if (std::holds_alternative<coordination::flow_ended>(evidence.what))
+    {
+        poll(owner);
+    }
+}
+
+void owner_placement::note(const coordination::endpoint_report& report)
+{
+    for (auto& policy : owners_)
+    {
+        policy.apply(report, events_.now());
+    }
+}
+
+unsigned owner_placement::owner_of(std::uint64_t flow_hash)
+{
+    return static_cast<unsigned>(mix_hashes(flow_hash, 0x6f776e6572ULL) %
+                                 owner_count);
+}
+
+void owner_placement::poll(unsigned owner)
+{
+    for (const auto& outcome : owners_[owner].poll(events_.now(), wall_now()))
+    {
+        react(outcome.ticket.value, outcome.decision);
+    }
+}
+
+void owner_placement::send_report(unsigned owner)
+{
+    const auto report = owners_[owner].report(events_.now());
+    events_.after(delays_.inside,
+                  [this, owner, report]
+                  {
+                      for (unsigned other = 0; other < owner_count; ++other)
+                      {
+                          if (other != owner)
+                          {
+                              owners_[other].apply(instance_id{owner + 1},
+                                                   report, events_.now());
+                          }
+                      }
+                  });
+}
+
+void owner_placement::react(std::uint64_t ticket,
+                            const coordination::admission& decision)
+{
+    if (const auto* choice = std::get_if<coordination::placed>(&decision))
+    {
+        react_.placed(ticket, choice->upstream);
+    }
+    else if (std::holds_alternative<coordination::dropped>(decision))
+    {
+        react_.dropped(ticket);
+    }
+    else if (std::holds_alternative<coordination::refused>(decision))
+    {
+        react_.refused(ticket);
+    }
+}
+
+wall_time owner_placement::wall_now() const
+{
+    return wall_time(std::chrono::duration_cast<std::chrono::milliseconds>(
+        events_.now().time_since_epoch()));
+}
+
+} // namespace boragestand::model
