Keep slots busy across handshakes and give up held flows in time

A slot was empty while the handshake of its next flow and the end of its last one were on their way, and held flows were released too late for their deadline. Placement now allows the number of flows that keeps the slots busy, learned from handshake and open times, and gives a held flow up two expected times before its deadline.

--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -20,11 +20,9 @@
     return candidate.load.open < candidate.connections;
 }
 
-bool has_free_slot(const placement_candidate& candidate,
-                   const placement_request& request)
+bool has_room(const placement_candidate& candidate)
 {
-    return connects(candidate) &&
-           candidate.load.running < candidate.slots + request.pipeline;
+    return connects(candidate) && candidate.load.running < candidate.room;
 }
 
 bool filled_with_long(const placement_candidate& candidate)
@@ -93,13 +91,9 @@
 choose_by_wait(std::span<const placement_candidate> candidates,
                upstream_id default_choice, const placement_request& request)
 {
-    const auto free = [&request](const placement_candidate& candidate)
-    {
-        return has_free_slot(candidate, request);
-    };
     const auto preferred = [&](const placement_candidate& candidate)
     {
-        return free(candidate) &&
+        return has_room(candidate) &&
                (request.is_long ? leaves_slot_to_short(candidate)
                                 : !filled_with_long(candidate));
     };
@@ -108,7 +102,7 @@
     {
         return best;
     }
-    return best_of(candidates, default_choice, request, free);
+    return best_of(candidates, default_choice, request, has_room);
 }
 
 std::optional<placement_choice>
--- a/src/coordination/placement.hpp
+++ b/src/coordination/placement.hpp
@@ -14,6 +14,7 @@
     upstream_id upstream;
     std::uint16_t weight{0};
     std::uint32_t slots{0};
+    std::uint32_t room{0}; ///< flows that may run there; keeps its slots busy
     std::uint32_t connections{0};
     estimated_load load;
 
@@ -28,8 +29,6 @@
     bool may_deviate{true};
     /// Whether the flows of the service occupy slots while they are open.
     bool slots_bind{true};
-    /// Flows that may wait at an upstream beyond its slots.
-    std::uint32_t pipeline{0};
     unsigned imbalance_percent{105};
 
     auto operator<=>(const placement_request&) const = default;
--- /dev/null
+++ b/src/coordination/service_times.cpp
@@ -0,0 +1,63 @@
+#include "coordination/service_times.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace boragestand::coordination
+{
+
+namespace
+{
+
+constexpr double weight_of_new = 1.0 / 32;
+
+// Bounds the flows for each slot if handshakes take most of the time.
+constexpr double most_flows_per_slot = 2.0;
+
+duration microseconds_of(double value)
+{
+    return duration(static_cast<duration::rep>(value));
+}
+
+} // namespace
+
+void service_times::note(const flow_evidence& evidence)
+{
+    if (const auto* made = std::get_if<flow_established>(&evidence.what))
+    {
+        handshake_.add(made->handshake_time);
+        return;
+    }
+    const auto* ended = std::get_if<flow_ended>(&evidence.what);
+    if (ended == nullptr || ended->end != flow_end::completed)
+    {
+        return;
+    }
+    const bool is_long = evidence.work == protocol::request_class::long_work;
+    (is_long ? long_open_ : short_open_).add(ended->age);
+}
+
+duration service_times::open_time(bool is_long) const
+{
+    return microseconds_of((is_long ? long_open_ : short_open_).value());
+}
+
+std::uint32_t service_times::flows_for(std::uint32_t slots) const
+{
+    const double open = short_open_.value();
+    const double busy = open - 2 * handshake_.value();
+    const double flows_per_slot =
+        busy * most_flows_per_slot > open ? open / busy : most_flows_per_slot;
+    return open > 0
+               ? static_cast<std::uint32_t>(std::lround(slots * flows_per_slot))
+               : slots;
+}
+
+void service_times::mean_time::add(duration value)
+{
+    const auto sample = static_cast<double>(value.count());
+    value_ = known_ ? value_ + (sample - value_) * weight_of_new : sample;
+    known_ = true;
+}
+
+} // namespace boragestand::coordination
--- a/src/coordination/service_traffic.cpp
+++ b/src/coordination/service_traffic.cpp
@@ -16,6 +16,10 @@
 // Older answers of load endpoints tell nothing about slots.
 constexpr duration endpoint_age_limit = std::chrono::milliseconds(500);
 
+// Flows are given up in the queue this many of their expected times before
+// their deadline.
+constexpr int deadline_margin = 2;
+
 // Open flows by which a load endpoint may differ from the counts.
 constexpr std::uint32_t open_tolerance = 16;
 
@@ -158,8 +162,12 @@
                                 std::uint16_t share, time_point now)
 {
     const duration limit = std::chrono::milliseconds(definition_.hold_limit_ms);
+    const bool is_long = arrival.work == protocol::request_class::long_work;
+    // Released later, the flow could not be answered in time.
+    const duration left =
+        arrival.time_left - deadline_margin * times_.open_time(is_long);
     const duration wait = arrival.time_left > duration(0)
-                              ? std::min(arrival.time_left, limit)
+                              ? std::clamp(left, duration(0), limit)
                               : limit;
     if (queue_.push({arrival, share, now, now + wait},
                     definition_.hold_capacity))
@@ -250,6 +258,7 @@
 void service_traffic::note(const flow_evidence& evidence, time_point now)
 {
     health_.note(evidence, now);
+    times_.note(evidence);
     if (std::holds_alternative<flow_adopted>(evidence.what))
     {
         ++load_.own(evidence.upstream).open;
@@ -374,8 +383,8 @@
             trial ? std::max<std::uint16_t>(full_weight / warmup_steps, 1)
                   : full_weight;
         active_.push_back({record->upstream, weight});
-        candidates_.push_back(
-            {record->upstream, weight, record->slots, record->connections, {}});
+        candidates_.push_back({record->upstream, weight, record->slots,
+                               record->slots, record->connections, {}});
     }
     next_change_ = directory_.next_change(now);
 }
@@ -385,6 +394,10 @@
     for (placement_candidate& candidate : candidates_)
     {
         candidate.load = load_.estimate(candidate.upstream);
+        const std::uint32_t long_work =
+            std::min(candidate.load.long_work, candidate.slots);
+        candidate.room =
+            long_work + times_.flows_for(candidate.slots - long_work);
         const auto told = endpoint_loads_.find(candidate.upstream);
         if (told != endpoint_loads_.end() &&
             now < told->second.at + endpoint_age_limit)
--- a/src/coordination/service_traffic.hpp
+++ b/src/coordination/service_traffic.hpp
@@ -7,6 +7,7 @@
 #include "coordination/placement.hpp"
 #include "coordination/refusal_ledger.hpp"
 #include "coordination/running_flows.hpp"
+#include "coordination/service_times.hpp"
 #include "coordination/traffic_policy.hpp"
 #include "coordination/upstream_directory.hpp"
 #include "coordination/upstream_health.hpp"
@@ -120,6 +121,7 @@
     upstream_health health_;
     running_flows running_;
     load_view load_;
+    service_times times_;
     hold_queue queue_;
     admission_rules rules_;
     refusal_ledger refusals_;
--- a/tests/traffic/placement_test.cpp
+++ b/tests/traffic/placement_test.cpp
@@ -16,7 +16,7 @@
 placement_candidate candidate(std::uint32_t id, std::uint32_t running,
                               std::uint32_t long_work, std::uint32_t open = 0)
 {
-    return {upstream_id{id}, 100, 2, 2000, {open, running, long_work}};
+    return {upstream_id{id}, 100, 2, 2, 2000, {open, running, long_work}};
 }
 
 protocol::load_report load_of(unsigned index, std::uint16_t running,
