Round the flows that keep slots busy up

With the mean rounded to the nearest number, slots were empty for a sixth of the peak. Rounded up, a short queue forms at the upstream instead.

--- a/src/coordination/service_times.cpp
+++ b/src/coordination/service_times.cpp
@@ -49,7 +49,7 @@
     const double flows_per_slot =
         busy * most_flows_per_slot > open ? open / busy : most_flows_per_slot;
     return open > 0
-               ? static_cast<std::uint32_t>(std::lround(slots * flows_per_slot))
+               ? static_cast<std::uint32_t>(std::ceil(slots * flows_per_slot))
                : slots;
 }
 
