Let long work fill half of the upstreams first

Short work was stuck at upstreams that a second long flow had filled since the last load report. All owners now fill the same half first, and short work keeps off that half where one more long flow would fill an upstream.

--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -87,18 +87,75 @@
     return best;
 }
 
+// Owners learn of each other's long work up to a report interval late. All of
+// them therefore let it fill the same half of the upstreams first, and short
+// work keeps off that half where one more long flow would fill an upstream.
+class fill_zone
+{
+public:
+    explicit fill_zone(std::span<const placement_candidate> candidates)
+        : end_(candidates.data() + candidates.size() / 2)
+        , has_long_work_(std::any_of(candidates.begin(), candidates.end(),
+                                     [](const placement_candidate& candidate)
+                                     { return candidate.load.long_work > 0; }))
+    {
+    }
+
+    bool holds(const placement_candidate& candidate) const
+    {
+        return &candidate < end_;
+    }
+
+    bool endangers_short(const placement_candidate& candidate) const
+    {
+        return has_long_work_ && holds(candidate) &&
+               !leaves_slot_to_short(candidate);
+    }
+
+private:
+    const placement_candidate* end_;
+    bool has_long_work_;
+};
+
+const placement_candidate*
+choose_for_short(std::span<const placement_candidate> candidates,
+                 upstream_id default_choice, const placement_request& request)
+{
+    const fill_zone zone(candidates);
+    const auto starts = [](const placement_candidate& candidate)
+    {
+        return has_room(candidate) && !filled_with_long(candidate);
+    };
+    const auto safe = [&](const placement_candidate& candidate)
+    {
+        return starts(candidate) && !zone.endangers_short(candidate);
+    };
+    const auto* best = best_of(candidates, default_choice, request, safe);
+    return best != nullptr
+               ? best
+               : best_of(candidates, default_choice, request, starts);
+}
+
 const placement_candidate*
-choose_by_wait(std::span<const placement_candidate> candidates,
-               upstream_id default_choice, const placement_request& request)
+choose_for_long(std::span<const placement_candidate> candidates,
+                upstream_id default_choice, const placement_request& request)
 {
-    const auto preferred = [&](const placement_candidate& candidate)
+    const fill_zone zone(candidates);
+    const auto spares_short = [](const placement_candidate& candidate)
+    {
+        return has_room(candidate) && leaves_slot_to_short(candidate);
+    };
+    const auto in_zone = [&zone](const placement_candidate& candidate)
     {
-        return has_room(candidate) &&
-               (request.is_long ? leaves_slot_to_short(candidate)
-                                : !filled_with_long(candidate));
+        return has_room(candidate) && zone.holds(candidate);
     };
-    const auto* best = best_of(candidates, default_choice, request, preferred);
-    if (best != nullptr || !request.is_long || !long_work_fits(candidates))
+    const auto* best =
+        best_of(candidates, default_choice, request, spares_short);
+    if (best == nullptr)
+    {
+        best = best_of(candidates, default_choice, request, in_zone);
+    }
+    if (best != nullptr || !long_work_fits(candidates))
     {
         return best;
     }
@@ -109,7 +166,9 @@
 place_by_wait(std::span<const placement_candidate> candidates,
               upstream_id default_choice, const placement_request& request)
 {
-    const auto* best = choose_by_wait(candidates, default_choice, request);
+    const auto* best =
+        request.is_long ? choose_for_long(candidates, default_choice, request)
+                        : choose_for_short(candidates, default_choice, request);
     if (best == nullptr)
     {
         return std::nullopt;
--- a/src/coordination/service_traffic.cpp
+++ b/src/coordination/service_traffic.cpp
@@ -383,8 +383,12 @@
             trial ? std::max<std::uint16_t>(full_weight / warmup_steps, 1)
                   : full_weight;
         active_.push_back({record->upstream, weight});
-        candidates_.push_back({record->upstream, weight, record->slots,
-                               record->slots, record->connections, {}});
+        candidates_.push_back({record->upstream,
+                               weight,
+                               record->slots,
+                               record->slots,
+                               record->connections,
+                               {}});
     }
     next_change_ = directory_.next_change(now);
 }
