Give the long-work slots outside the zone to one owner each

Owners that saw the same upstream without long work started long work on it at the same time, and short work was stuck behind both. Outside the zone that long work fills, only the owner that rendezvous names for an upstream now starts long work there.

--- a/src/coordination/load_view.cpp
+++ b/src/coordination/load_view.cpp
@@ -84,6 +84,17 @@
     }
 }
 
+bool load_view::reserves(upstream_id upstream) const
+{
+    const auto score = [upstream](instance_id owner)
+    {
+        return mix_hashes(upstream.value, owner.value);
+    };
+    return std::none_of(peers_.begin(), peers_.end(),
+                        [&](const auto& item)
+                        { return score(item.first) > score(self_); });
+}
+
 void load_view::sum_peers()
 {
     peer_sums_.clear();
--- a/src/coordination/load_view.hpp
+++ b/src/coordination/load_view.hpp
@@ -25,6 +25,8 @@
 class load_view
 {
 public:
+    explicit load_view(instance_id self) : self_(self) {}
+
     /// Own counts of an upstream, to be changed as flows come and go.
     estimated_load& own(upstream_id upstream) { return own_[upstream].now; }
 
@@ -47,6 +49,11 @@
     /// the peers know.
     void report(service_id service, protocol::load_report& report);
 
+    /// Whether this owner, among those with a valid report, is the one that may
+    /// take the last slots of an upstream for long work. Exactly one is, as far
+    /// as the owners know of the same peers.
+    bool reserves(upstream_id upstream) const;
+
     /// Number of owners with a valid report, this one included.
     std::uint32_t owners() const
     {
@@ -68,6 +75,7 @@
 
     void sum_peers();
 
+    instance_id self_;
     std::map<upstream_id, own_load> own_;
     std::map<upstream_id, estimated_load> peer_sums_;
     std::map<instance_id, peer_load> peers_;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -141,9 +141,10 @@
                 upstream_id default_choice, const placement_request& request)
 {
     const fill_zone zone(candidates);
-    const auto spares_short = [](const placement_candidate& candidate)
+    const auto spares_short = [&zone](const placement_candidate& candidate)
     {
-        return has_room(candidate) && leaves_slot_to_short(candidate);
+        return has_room(candidate) && leaves_slot_to_short(candidate) &&
+               (candidate.reserved || zone.holds(candidate));
     };
     const auto in_zone = [&zone](const placement_candidate& candidate)
     {
--- a/src/coordination/placement.hpp
+++ b/src/coordination/placement.hpp
@@ -16,6 +16,7 @@
     std::uint32_t slots{0};
     std::uint32_t room{0}; ///< flows that may run there; keeps its slots busy
     std::uint32_t connections{0};
+    bool reserved{true}; ///< only this owner starts long work outside the zone
     estimated_load load;
 
     auto operator<=>(const placement_candidate&) const = default;
--- a/src/coordination/service_traffic.cpp
+++ b/src/coordination/service_traffic.cpp
@@ -47,6 +47,7 @@
     , settings_(settings)
     , health_(id, health_limits{.ejection_percent = settings.ejection_percent})
     , running_(running_limits{})
+    , load_(self)
     , queue_(settings.aging_limit)
     , gate_(self, id)
 {
@@ -388,6 +389,7 @@
                                record->slots,
                                record->slots,
                                record->connections,
+                               true,
                                {}});
     }
     next_change_ = directory_.next_change(now);
@@ -398,6 +400,7 @@
     for (placement_candidate& candidate : candidates_)
     {
         candidate.load = load_.estimate(candidate.upstream);
+        candidate.reserved = load_.reserves(candidate.upstream);
         const std::uint32_t long_work =
             std::min(candidate.load.long_work, candidate.slots);
         candidate.room =
--- a/tests/traffic/placement_test.cpp
+++ b/tests/traffic/placement_test.cpp
@@ -16,7 +16,13 @@
 placement_candidate candidate(std::uint32_t id, std::uint32_t running,
                               std::uint32_t long_work, std::uint32_t open = 0)
 {
-    return {upstream_id{id}, 100, 2, 2, 2000, {open, running, long_work}};
+    return {upstream_id{id}, 100, 2, 2, 2000, true, {open, running, long_work}};
+}
+
+placement_candidate reserved_elsewhere(placement_candidate other)
+{
+    other.reserved = false;
+    return other;
 }
 
 protocol::load_report load_of(unsigned index, std::uint16_t running,
@@ -75,6 +81,16 @@
          true,
          true,
          1},
+        {"long work of another owner keeps off reserved slots",
+         {candidate(1, 1, 1), reserved_elsewhere(candidate(2, 0, 0))},
+         true,
+         true,
+         1},
+        {"short work keeps off the zone that long work fills",
+         {candidate(1, 1, 1), candidate(2, 1, 1)},
+         false,
+         true,
+         2},
         {"long work leaves slots that short work needs",
          {candidate(1, 2, 2), candidate(2, 1, 1), candidate(3, 2, 1)},
          true,
@@ -140,6 +156,29 @@
     EXPECT_EQ(policy.poll(at(2100), wall_time{}).size(), 1u);
 }
 
+// Guards against two owners, or none, that take the last slots of an upstream
+// for long work.
+TEST(load_view, lets_exactly_one_owner_reserve_an_upstream)
+{
+    for (std::uint32_t upstream = 0; upstream < 20; ++upstream)
+    {
+        unsigned reserving = 0;
+        for (std::uint32_t owner = 1; owner <= 6; ++owner)
+        {
+            load_view view(instance_id{owner});
+            for (std::uint32_t peer = 1; peer <= 6; ++peer)
+            {
+                if (peer != owner)
+                {
+                    view.apply(instance_id{peer}, {}, at(0));
+                }
+            }
+            reserving += view.reserves(upstream_id{upstream}) ? 1 : 0;
+        }
+        EXPECT_EQ(reserving, 1u);
+    }
+}
+
 // Guards against long work that is known only by observation and still blocks
 // short work, here and at the peers.
 TEST(load_view, reports_flows_that_became_long)
