--- a/src/coordination/running_flows.cpp
+++ b/src/coordination/running_flows.cpp
@@ -62,21 +62,6 @@
     return found->second;
 }
 
-std::vector<running_flow> running_flows::mark_long(duration limit,
-                                                   time_point now)
-{
-    std::vector<running_flow> marked;
-    for (auto& [flow_hash, flow] : flows_)
-    {
-        if (flow.counted && !flow.is_long && flow.since + limit < now)
-        {
-            flow.is_long = true;
-            marked.push_back(flow);
-        }
-    }
-    return marked;
-}
-
 std::optional<running_flow> running_flows::end(std::uint64_t flow_hash)
 {
     const auto found = flows_.find(flow_hash);
--- a/src/coordination/running_flows.hpp
+++ b/src/coordination/running_flows.hpp
@@ -73,10 +73,6 @@
     /// not long before.
     std::optional<running_flow> become_long(std::uint64_t flow_hash);
 
-    /// Takes flows that have occupied a slot for longer than the limit for long
-    /// ones. Returns those that were not long before.
-    std::vector<running_flow> mark_long(duration limit, time_point now);
-
     /// The flow ended. Returns it if it occupied a slot.
     std::optional<running_flow> end(std::uint64_t flow_hash);
 
--- a/src/coordination/service_times.cpp
+++ b/src/coordination/service_times.cpp
@@ -14,9 +14,6 @@
 // Bounds the flows for each slot if handshakes take most of the time.
 constexpr double most_flows_per_slot = 2.0;
 
-// Short work takes less than this many times its mean.
-constexpr double times_of_short_work = 5.0;
-
 duration microseconds_of(double value)
 {
     return duration(static_cast<duration::rep>(value));
@@ -45,13 +42,6 @@
     return microseconds_of((is_long ? long_open_ : short_open_).value());
 }
 
-duration service_times::short_limit() const
-{
-    return short_open_.value() > 0
-               ? microseconds_of(short_open_.value() * times_of_short_work)
-               : duration::max() / 4;
-}
-
 std::uint32_t service_times::flows_for(std::uint32_t slots) const
 {
     const double open = short_open_.value();
--- a/src/coordination/service_times.hpp
+++ b/src/coordination/service_times.hpp
@@ -16,11 +16,6 @@
     /// nothing is known.
     duration open_time(bool is_long) const;
 
-    /// Flows that stay open longer than this are taken for long at once, before
-    /// the short limit of the service tells; the longest duration if nothing is
-    /// known.
-    duration short_limit() const;
-
     /// Flows that keep this many slots busy. A slot is empty while the
     /// handshake of its next flow runs and while the end of its last one is on
     /// its way to the owner, each about one handshake time, so short work needs
--- a/src/coordination/service_traffic.cpp
+++ b/src/coordination/service_traffic.cpp
@@ -353,11 +353,6 @@
         {
             free_slot(flow);
         }
-        for (const running_flow& flow :
-             running_.mark_long(times_.short_limit(), now))
-        {
-            ++load_.own(flow.upstream).long_work;
-        }
         next_change_ = time_point::min();
     }
     if (now >= next_change_)
