Add a simulated world for flow scenarios and heal partitions in it

Scenarios of planned changes and losses run over several routers. They showed that a member that comes back from behind a partition was not asked for its flows, and that a pause was noticed only at the next tick.

--- a/src/coordination/flow_router.cpp
+++ b/src/coordination/flow_router.cpp
@@ -185,11 +185,21 @@
     if (state.members.take_lost_ownership())
     {
         give_up_flows();
+        // The others owned its flows meanwhile.
+        auto others = state.members.eligible();
+        std::erase(others, state.settings.self);
+        state.owners.set_view(others, now);
+        view_generation = 0;
     }
     if (state.members.take_declared_dead())
     {
         sweep.repin_all();
     }
+    const auto returned = state.members.take_returned();
+    if (!returned.empty())
+    {
+        state.owners.add_returned(returned, now);
+    }
     if (state.members.generation() != view_generation)
     {
         view_generation = state.members.generation();
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t indirect_probes = 2;
 constexpr duration dead_probe_interval = std::chrono::seconds(2);
 constexpr duration tell_interval = std::chrono::milliseconds(100);
+/// Refutations raise an incarnation by one, a new process by the milliseconds
+/// since the start of the old one.
+constexpr std::uint64_t restart_gap = 1000;
 constexpr duration relay_lifetime = std::chrono::seconds(1);
 
 bool supersedes(const member_update& update, const member_update& known)
@@ -61,14 +64,10 @@
     if (!last_tick_)
     {
         last_change_ = now;
+        last_tick_ = now;
         begin_refresh(now, settings_.suspicion_timeout, true, effects);
     }
-    else if (now - *last_tick_ > settings_.suspicion_timeout &&
-             !settings_.faults.no_freshness)
-    {
-        paused_ = true;
-        begin_refresh(now, 2 * settings_.suspicion_timeout, false, effects);
-    }
+    notice_pause(now, effects);
     last_tick_ = now;
     check_refresh(now);
     check_probes(now, effects);
@@ -77,9 +76,23 @@
     probe_dead(now, effects);
 }
 
+void membership::notice_pause(time_point now, router_effects& effects)
+{
+    if (!last_tick_ || now - *last_tick_ <= settings_.suspicion_timeout ||
+        settings_.faults.no_freshness)
+    {
+        return;
+    }
+    last_tick_ = now;
+    paused_ = true;
+    begin_refresh(now, 2 * settings_.suspicion_timeout, false, effects);
+}
+
 bool membership::receive(const protocol::entry_envelope& envelope,
                          time_point now, router_effects& effects)
 {
+    // After a pause, messages may be read before the first tick.
+    notice_pause(now, effects);
     if (!heard(envelope, now, effects))
     {
         return false;
@@ -174,6 +187,11 @@
 {
     const bool was_owner = may_own(member.known.state);
     const bool joined = member.known.state == member_state::dead;
+    if (joined && member.known.incarnation != 0 &&
+        update.incarnation - member.known.incarnation < restart_gap)
+    {
+        returned_.push_back(update.member);
+    }
     member.known = update;
     member.gossip_left = gossip_copies;
     member.doubted_since.reset();
@@ -558,6 +576,11 @@
     return known != nullptr && known->known.state != member_state::dead;
 }
 
+std::vector<instance_id> membership::take_returned()
+{
+    return std::exchange(returned_, {});
+}
+
 bool membership::take_lost_ownership()
 {
     return std::exchange(lost_ownership_, false);
--- a/src/coordination/membership.hpp
+++ b/src/coordination/membership.hpp
@@ -52,6 +52,10 @@
     /// Whether this instance is in its planned stop.
     bool leaving() const { return leaving_; }
 
+    /// Members that were thought dead and have gone on with their flows all the
+    /// time, as behind a partition. Reading the list clears it.
+    std::vector<instance_id> take_returned();
+
     /// Whether this instance was paused and declared dead meanwhile, so that
     /// others own its flows. Reading it clears it.
     bool take_lost_ownership();
@@ -97,6 +101,7 @@
 
     peer* find(instance_id id);
     const peer* find(instance_id id) const;
+    void notice_pause(time_point now, router_effects& effects);
     bool heard(const protocol::entry_envelope& envelope, time_point now,
                router_effects& effects);
     void take(const protocol::member_update& update, time_point now,
@@ -147,6 +152,7 @@
     time_point refresh_limit_{};
     std::size_t refresh_needed_{0};
     bool paused_{false}; ///< since the last refresh began
+    std::vector<instance_id> returned_;
     bool lost_ownership_{false};
     bool declared_dead_{false};
 };
--- a/src/coordination/ownership.cpp
+++ b/src/coordination/ownership.cpp
@@ -14,14 +14,28 @@
 
 } // namespace
 
-void ownership::set_view(const std::vector<instance_id>& members,
-                         time_point now)
+ownership::candidates
+ownership::make_candidates(const std::vector<instance_id>& members)
 {
-    candidates next;
+    candidates made;
     for (const instance_id id : members)
     {
-        next.push_back({id, mix_hashes(id.value, 0x6f776e6572ULL)});
+        made.push_back({id, mix_hashes(id.value, 0x6f776e6572ULL)});
     }
+    return made;
+}
+
+void ownership::add_returned(const std::vector<instance_id>& members,
+                             time_point now)
+{
+    const candidates added = make_candidates(members);
+    returned_.insert(returned_.end(), added.begin(), added.end());
+    returned_last_ = now;
+}
+
+void ownership::set_view(const std::vector<instance_id>& members,
+                         time_point now)
+{
     if (!current_.empty())
     {
         former_.push_front({std::move(current_), since_, now, now});
@@ -30,12 +44,16 @@
     {
         former_.pop_back();
     }
-    current_ = std::move(next);
+    current_ = make_candidates(members);
     since_ = now;
 }
 
 void ownership::expire(time_point now, duration retention)
 {
+    if (now - returned_last_ > retention)
+    {
+        returned_.clear();
+    }
     while (!former_.empty() && now - former_.back().last_used > retention)
     {
         former_.pop_back();
@@ -44,6 +62,7 @@
 
 void ownership::extend_former_views(time_point now)
 {
+    returned_last_ = now;
     if (!former_.empty())
     {
         former_.front().last_used = now;
@@ -104,6 +123,12 @@
 std::optional<ownership::former_owner>
 ownership::owner_before(std::uint64_t flow_hash, std::size_t number) const
 {
+    if (!returned_.empty() && number == 0)
+    {
+        return former_owner{first(returned_, flow_hash, instance_id{}),
+                            duration{0}};
+    }
+    number -= returned_.empty() ? 0 : 1;
     if (number >= former_.size())
     {
         return std::nullopt;
--- a/src/coordination/ownership.hpp
+++ b/src/coordination/ownership.hpp
@@ -27,6 +27,10 @@
     /// Keeps former views until this long after the last change.
     void expire(time_point now, duration retention);
 
+    /// Members that came back with the flows that they owned on their side of
+    /// a partition, where each thought the other side dead.
+    void add_returned(const std::vector<instance_id>& members, time_point now);
+
     /// Flows are still being transferred after a change: keeps the newest
     /// former view as if it had ended now.
     void extend_former_views(time_point now);
@@ -40,8 +44,9 @@
     /// The owner if this instance could not own flows.
     instance_id owner_without_self(std::uint64_t flow_hash) const;
 
-    /// Owner under the former view with this number, the newest first, with
-    /// the time for which that view was in force; empty beyond the last one.
+    /// Owner under the former view with this number, with the time for which
+    /// that view was in force; empty beyond the last one. The view of members
+    /// that came back is the first, then the newest.
     struct former_owner
     {
         instance_id instance;
@@ -66,6 +71,7 @@
         time_point last_used; ///< from which its retention counts
     };
 
+    static candidates make_candidates(const std::vector<instance_id>& members);
     static instance_id first(const candidates& members, std::uint64_t flow_hash,
                              instance_id without);
 
@@ -73,6 +79,8 @@
     candidates current_;
     time_point since_{};
     std::deque<former_view> former_; ///< newest first
+    candidates returned_;
+    time_point returned_last_{};
 };
 
 } // namespace boragestand::coordination
--- a/src/coordination/packet_path.cpp
+++ b/src/coordination/packet_path.cpp
@@ -145,6 +145,11 @@
 void packet_path::observe(const classified_packet& packet, flow_record& record)
 {
     const time_point now = packet.event.now;
+    if (record.state == flow_state::moved)
+    {
+        // Kept for a fixed time, however many packets still arrive here.
+        return;
+    }
     record.last_packet_ms = ms_of(now);
     if (record.protocol == ip_protocol::tcp)
     {
@@ -168,8 +173,7 @@
     if (inner.flags.rst)
     {
         lifecycle_.note_end(record, flow_end::reset, now);
-        record.state = record.state == flow_state::moved ? flow_state::moved
-                                                         : flow_state::closing;
+        record.state = flow_state::closing;
         return;
     }
     if (record.state == flow_state::opening && inner.flags.ack)
@@ -203,7 +207,7 @@
     const std::uint32_t acknowledged = packet.event.packet.acknowledgement;
     const auto bytes =
         static_cast<std::int32_t>(acknowledged - record.acknowledgement);
-    if (bytes <= 0 || !record.has_data || record.state == flow_state::moved)
+    if (bytes <= 0 || !record.has_data)
     {
         return;
     }
@@ -339,12 +343,9 @@
             return std::nullopt;
         }
         const instance_id id = former->instance;
-        if (event.header.hops > 0 && id == event.header.passed_by)
-        {
-            // It has just been asked.
-            return std::nullopt;
-        }
-        if (id != state_.settings.self && id.value != 0 &&
+        const bool asked =
+            event.header.hops > 0 && id == event.header.passed_by;
+        if (id != state_.settings.self && id.value != 0 && !asked &&
             state_.members.lives(id))
         {
             return pass_to(id, event);
--- /dev/null
+++ b/tests/flows/flow_world.hpp
@@ -0,0 +1,177 @@
+#pragma once
+
+#include "coordination/coordination.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace boragestand::coordination::testing
+{
+
+/// Load, network and faults of a simulated world.
+struct world_options
+{
+    std::uint64_t seed{1};
+    unsigned instances{6};
+    double flows_per_second{150};
+    double long_percent{5};
+    double loss_percent{0};      ///< of packets and messages
+    double duplicate_percent{0}; ///< of messages between instances
+    duration jitter{std::chrono::microseconds(500)};
+    bool with_udp{false};
+    unsigned desk_upstreams{8};
+    router_faults faults;
+    double pin_bytes_per_second{20000};
+};
+
+/// What went wrong, or right, with the flows of a world.
+struct world_result
+{
+    unsigned completed{0};
+    unsigned broken{0};  ///< reset by an upstream or stuck
+    unsigned excused{0}; ///< upstream dead, or too young at a kill
+    unsigned refused{0};
+    unsigned wrong_service{0};
+    unsigned two_upstreams{0}; ///< data at a second upstream
+    unsigned late_placements{0}; ///< flows opened on an upstream that drains
+    std::vector<std::string> details;
+};
+
+/// Routers, a network that loses, delays, repeats and partitions, upstreams
+/// that announce themselves, and callers, in simulated time from one seed.
+/// Packets of a flow reach the instances of its side at random.
+class flow_world
+{
+public:
+    explicit flow_world(const world_options& options);
+
+    /// Lets time pass.
+    void run(duration span);
+
+    /// Ends the arrival of flows and runs until the open ones are decided.
+    world_result finish();
+
+    void kill(unsigned instance);
+    void start(unsigned instance);
+    void stop(unsigned instance);
+    void freeze(unsigned instance, duration span);
+    /// Instances and upstreams above the limit are on the other side.
+    void partition(unsigned last_instance);
+    void heal();
+
+    void add_upstream(service_id service, unsigned number);
+    void drain(service_id service, unsigned number);
+    void kill_upstream(service_id service, unsigned number);
+    /// Ends the announcements of a live upstream.
+    void silence(service_id service, unsigned number);
+    /// Puts a changed configuration into force at all instances.
+    void
+    configure(const std::function<void(state::configuration&)>& change);
+
+    time_point now() const { return now_; }
+    /// Null if the instance does not run.
+    flow_router* router(unsigned instance);
+    bool stopped(unsigned instance) const;
+    std::size_t open_flows() const { return open_; }
+
+    static constexpr service_id desk{1};
+    static constexpr service_id maps{2};
+    static constexpr service_id orders{3};
+
+private:
+    struct fake_upstream
+    {
+        protocol::upstream_record record;
+        std::set<std::uint32_t> connections;
+        bool alive{true};
+        bool silent{false};
+        time_point drains_since{time_point::max()};
+    };
+
+    struct simulated_instance
+    {
+        std::unique_ptr<flow_router> router;
+        std::uint64_t life{0};
+        time_point frozen_until{};
+        std::map<std::uint64_t, packet_event> held;
+        bool stopped{false};
+    };
+
+    struct caller_flow
+    {
+        std::uint32_t number{0};
+        service_id service;
+        time_point started;
+        time_point ends;
+        bool is_long{false};
+        bool is_udp{false};
+        unsigned side{0};
+        fake_upstream* bound{nullptr};
+        bool fin_sent{false};
+        bool over{false};
+        std::uint32_t progress{0};
+        duration syn_wait{std::chrono::seconds(1)};
+        std::set<const fake_upstream*> data_at;
+    };
+
+    using action = std::function<void()>;
+    struct scheduled
+    {
+        time_point at;
+        std::uint64_t order;
+        action run;
+        bool operator<(const scheduled& other) const
+        {
+            return at != other.at ? at > other.at : order > other.order;
+        }
+    };
+
+    void at(duration delay, action run);
+    duration latency();
+    bool lost();
+    unsigned side_of(unsigned instance) const;
+    unsigned side_of(const fake_upstream& upstream) const;
+    bool reachable(unsigned left, unsigned right) const;
+    std::vector<unsigned> running(unsigned side) const;
+
+    void tick(unsigned instance, std::uint64_t life);
+    void step(unsigned instance, decltype(router_event::what) what);
+    void carry(unsigned instance, router_effects effects);
+    void announce(fake_upstream& upstream);
+    void arrive();
+    void send(caller_flow& flow, bool syn, bool fin, bool data);
+    void deliver(unsigned instance, packet_event event);
+    void carry_out(unsigned instance, const packet_event& event,
+                   const packet_decision& decision);
+    void reach(fake_upstream& upstream, service_id service,
+               const packet_event& event);
+    void reach_udp(fake_upstream& upstream, caller_flow& flow);
+    void open_tcp(caller_flow& flow);
+    void retry_syn(caller_flow& flow);
+    void continue_flow(caller_flow& flow);
+    void end(caller_flow& flow, bool completed, const std::string& why);
+
+    world_options options_;
+    random_sequence random_;
+    time_point now_{std::chrono::seconds(1000)};
+    std::uint64_t order_{0};
+    std::priority_queue<scheduled> queue_;
+    std::vector<simulated_instance> instances_;
+    std::map<std::pair<service_id, upstream_id>, fake_upstream> upstreams_;
+    std::map<std::uint32_t, caller_flow> flows_;
+    std::shared_ptr<const state::configuration> configuration_;
+    std::vector<time_point> kills_;
+    unsigned cut_{0}; ///< last instance of the first side; 0 while whole
+    bool arrivals_{true};
+    std::uint32_t next_flow_{1};
+    std::uint64_t next_ticket_{1};
+    std::size_t open_{0};
+    world_result result_;
+};
+
+} // namespace boragestand::coordination::testing
