--- a/src/state/state.hpp
+++ b/src/state/state.hpp
@@ -4,5 +4,14 @@
 /// tables and files that hold the state of a process.
 
 #include "state/configuration.hpp"
+#include "state/configuration_update.hpp"
+#include "state/control_command.hpp"
+#include "state/control_state.hpp"
+#include "state/durable_log.hpp"
+#include "state/file_disk.hpp"
 #include "state/flow_table.hpp"
+#include "state/hard_state_store.hpp"
+#include "state/note_application.hpp"
 #include "state/pin_table.hpp"
+#include "state/release_note.hpp"
+#include "state/snapshot_store.hpp"
