--- a/src/coordination/flow_lifecycle.cpp
+++ b/src/coordination/flow_lifecycle.cpp
@@ -104,8 +104,11 @@
     {
         ++state_.counters.flows_held;
         state_.flows[slot].state = flow_state::waiting;
-        state_.held.add(
-            {packet.event.ticket, {slot, packet.hash}, now, time_point::max()});
+        state_.held.add({packet.event.ticket,
+                         {slot, packet.hash},
+                         now,
+                         time_point::max(),
+                         {}});
         return held{};
     }
     const bool was_forwarded = state_.flows[slot].was_forwarded;
@@ -144,7 +147,7 @@
         record.state = flow_state::awaiting_pin;
         record.exception = true;
         const auto limit = now + pin_wait_limit;
-        state_.held.add({ticket, {slot, record.hash}, now, limit});
+        state_.held.add({ticket, {slot, record.hash}, now, limit, {}});
         state_.pins.add_waiting({slot, record.hash});
         return held{};
     }
@@ -152,24 +155,31 @@
     return forward(slot, place.reason);
 }
 
-bool flow_lifecycle::must_await_pin(const flow_record& record) const
+bool flow_lifecycle::runs_once(const flow_record& record) const
 {
-    if (record.protocol != protocol::ip_protocol::udp ||
-        state_.settings.faults.no_pin_wait)
-    {
-        return false;
-    }
     const auto* service = state_.services.find(record.service);
-    return !service->definition.idempotent &&
+    return record.protocol == protocol::ip_protocol::udp &&
+           !service->definition.idempotent;
+}
+
+bool flow_lifecycle::must_await_pin(const flow_record& record) const
+{
+    return runs_once(record) && !state_.settings.faults.no_pin_wait &&
            state_.pins.has_backup(record.hash);
 }
 
+bool flow_lifecycle::needs_pin(const flow_record& record) const
+{
+    // Without a pin a datagram of such a flow would be taken for a new flow.
+    return runs_once(record) || state_.settled.is_exception(
+                                    record.service, record.hash,
+                                    state_.addresses[record.upstream].upstream);
+}
+
 void flow_lifecycle::mark_exception(flow_slot slot, time_point now)
 {
     flow_record& record = state_.flows[slot];
-    const upstream_id upstream = state_.addresses[record.upstream].upstream;
-    record.exception =
-        state_.settled.is_exception(record.service, record.hash, upstream);
+    record.exception = needs_pin(record);
     if (record.exception)
     {
         const auto age = since(record.opened_ms, now);
@@ -208,8 +218,7 @@
                                                   std::chrono::milliseconds(1));
     ++state_.counters.flows_adopted;
     note(added, flow_adopted{}, packet.event.now);
-    added.exception =
-        state_.settled.is_exception(added.service, added.hash, upstream);
+    added.exception = needs_pin(added);
     if (added.exception)
     {
         state_.pins.add_now({slot, added.hash});
@@ -218,6 +227,23 @@
     return forward(slot, reason);
 }
 
+bool flow_lifecycle::await_owner(const classified_packet& packet)
+{
+    const flow_slot slot = record(packet);
+    if (slot == state::no_flow)
+    {
+        return false;
+    }
+    state_.flows[slot].state = flow_state::awaiting_owner;
+    const time_point now = packet.event.now;
+    state_.held.add({packet.event.ticket,
+                     {slot, packet.hash},
+                     now,
+                     time_point::max(),
+                     packet.event});
+    return true;
+}
+
 packet_decision flow_lifecycle::place_again(const classified_packet& packet,
                                             flow_slot slot)
 {
@@ -307,8 +333,7 @@
     added.last_packet_ms = ms_of(now);
     ++state_.counters.flows_adopted;
     note(added, flow_adopted{}, now);
-    added.exception =
-        state_.settled.is_exception(added.service, hash, transfer.upstream);
+    added.exception = needs_pin(added);
     if (added.exception)
     {
         state_.pins.add_now({slot, hash});
--- a/src/coordination/flow_lifecycle.hpp
+++ b/src/coordination/flow_lifecycle.hpp
@@ -29,6 +29,10 @@
     packet_decision adopt(const classified_packet& packet, upstream_id upstream,
                           placement_reason reason);
 
+    /// Holds the first packet of a flow that a lost member may own. Returns
+    /// false if there is no room.
+    bool await_owner(const classified_packet& packet);
+
     /// Places a flow again whose upstream is gone; no data may have come.
     packet_decision place_again(const classified_packet& packet,
                                 state::flow_slot slot);
@@ -78,6 +82,9 @@
     /// Tells placement once that the flow is over.
     void note_end(state::flow_record& record, flow_end end, time_point now);
 
+    /// Whether the flow cannot be found again without a pin.
+    bool needs_pin(const state::flow_record& record) const;
+
     /// Removes a flow from the table.
     void erase(state::flow_slot slot);
 
@@ -93,6 +100,7 @@
               const transport::endpoint* address);
     void unbind(state::flow_record& record);
     void mark_exception(state::flow_slot slot, time_point now);
+    bool runs_once(const state::flow_record& record) const;
     bool must_await_pin(const state::flow_record& record) const;
     void finish_wait(const held_flow& held, time_point now);
 
--- a/src/coordination/flow_router.cpp
+++ b/src/coordination/flow_router.cpp
@@ -81,6 +81,7 @@
         lifecycle.release(outcome, now);
     }
     lifecycle.check_waits(now);
+    packets.check_waits(now);
     sweep.tick(now);
     state.pins.tick(state.members, now, effects);
     state.transfers.tick(state.members, now, effects);
--- a/src/coordination/flow_sweep.cpp
+++ b/src/coordination/flow_sweep.cpp
@@ -60,6 +60,7 @@
     flow_record& record = state_.flows[slot];
     if (record.state == flow_state::waiting ||
         record.state == flow_state::awaiting_pin ||
+        record.state == flow_state::awaiting_owner ||
         record.state == flow_state::moved)
     {
         return;
@@ -90,6 +91,7 @@
     {
     case flow_state::waiting:
     case flow_state::awaiting_pin:
+    case flow_state::awaiting_owner:
         return false;
     case flow_state::closing:
     case flow_state::moved:
@@ -124,10 +126,9 @@
     {
         return;
     }
-    const upstream_id upstream = state_.addresses[record.upstream].upstream;
     if (now - state_.settled.changed_at(record.service) >
             settled_announcement &&
-        !state_.settled.is_exception(record.service, record.hash, upstream))
+        !lifecycle_.needs_pin(record))
     {
         record.exception = false;
         state_.pins.remove(record);
--- a/src/coordination/held_flows.hpp
+++ b/src/coordination/held_flows.hpp
@@ -15,6 +15,8 @@
     flow_reference flow;
     time_point since;
     time_point limit; ///< of the wait for the backup's confirmation
+    /// The first packet, for a flow whose owner is unknown.
+    packet_event packet{};
 };
 
 /// Flows that wait in the hold queue or for the confirmation of their pin, by
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -19,6 +19,11 @@
 constexpr std::size_t max_broadcast = 16;
 constexpr std::size_t indirect_probes = 2;
 constexpr duration dead_probe_interval = std::chrono::seconds(2);
+/// Right after a death the flows of the dead member arrive all at once; they
+/// are not made to wait for a check whether it lives after all.
+constexpr duration silence_validity = std::chrono::seconds(1);
+/// A member that has been dead for longer is not asked for its flows.
+constexpr duration longest_partition = std::chrono::hours(2);
 constexpr duration tell_interval = std::chrono::milliseconds(100);
 /// Refutations raise an incarnation by one, a new process by the milliseconds
 /// since the start of the old one.
@@ -69,10 +74,11 @@
     }
     notice_pause(now, effects);
     last_tick_ = now;
-    check_refresh(now);
+    check_refresh(now, effects);
     check_probes(now, effects);
     check_doubts(now, effects);
     probe_next(now, effects);
+    check_silence(now, effects);
     probe_dead(now, effects);
 }
 
@@ -113,7 +119,7 @@
         }
         take_answer(envelope, *acked, effects);
     }
-    check_refresh(now);
+    check_refresh(now, effects);
     return true;
 }
 
@@ -130,7 +136,6 @@
         take({envelope.from, envelope.incarnation, member_state::alive}, now,
              effects);
     }
-    sender->refresh_pending = false;
     const bool doubted = sender->known.state == member_state::suspect ||
                          sender->known.state == member_state::dead;
     const bool earlier = envelope.incarnation < sender->known.incarnation;
@@ -173,11 +178,15 @@
     {
         return;
     }
-    if (update.state == member_state::dead)
+    if (paused_)
     {
-        lost_ownership_ = lost_ownership_ || (paused_ && !fresh_);
-        declared_dead_ = true;
+        // Refuted after the refresh: the answers must still tell whether this
+        // instance is dead, which a refutation would end.
+        lost_ownership_ = lost_ownership_ || update.state == member_state::dead;
+        refuted_ = std::max(refuted_, update.incarnation);
+        return;
     }
+    declared_dead_ = declared_dead_ || update.state == member_state::dead;
     incarnation_ = update.incarnation + 1;
     broadcast(now, effects);
 }
@@ -186,6 +195,8 @@
                            time_point now, router_effects& effects)
 {
     const bool was_owner = may_own(member.known.state);
+    member.stopped = member.known.state == member_state::leaving &&
+                     update.state == member_state::dead;
     const bool joined = member.known.state == member_state::dead;
     if (joined && member.known.incarnation != 0 &&
         update.incarnation - member.known.incarnation < restart_gap)
@@ -215,7 +226,14 @@
     if (joined)
     {
         send_probe(update.member, now, false, effects);
+        broadcast(now, effects);
+    }
+    if (update.state == member_state::dead)
+    {
+        last_death_ = now;
+        member.died = now;
     }
+    lost_count_ = lost().size();
 }
 
 void membership::doubt(peer& member, time_point now, router_effects& effects)
@@ -272,6 +290,12 @@
                       return probe.target == answer.target &&
                              probe.sequence == answer.sequence;
                   });
+    // Messages that were queued during a pause are no answers to it.
+    if (peer* target = find(answer.target);
+        target != nullptr && answer.sequence > refresh_after_)
+    {
+        target->refresh_pending = false;
+    }
     const auto relayed =
         std::find_if(relayed_.begin(), relayed_.end(),
                      [&](const relayed_probe& probe)
@@ -307,6 +331,7 @@
                                router_effects& effects)
 {
     fresh_ = false;
+    refresh_after_ = sequence_;
     refresh_limit_ = now + limit;
     probes_.clear();
     std::size_t asked = 0;
@@ -329,7 +354,7 @@
     refresh_needed_ = all ? 0 : asked - std::min(asked, asked / 2 + 1);
 }
 
-void membership::check_refresh(time_point now)
+void membership::check_refresh(time_point now, router_effects& effects)
 {
     if (fresh_ || !last_tick_)
     {
@@ -344,6 +369,11 @@
         paused_ = false;
         last_change_ = now;
         ++generation_;
+        if (refuted_ >= incarnation_)
+        {
+            incarnation_ = refuted_ + 1;
+            broadcast(now, effects);
+        }
     }
 }
 
@@ -438,6 +468,57 @@
     }
 }
 
+bool membership::ask_lost(time_point now)
+{
+    if (lost_count_ == 0 || now - last_death_ < silence_validity)
+    {
+        return false;
+    }
+    silence_wanted_ = true;
+    return true;
+}
+
+bool membership::silent_since(time_point time) const
+{
+    return lost_count_ == 0 || silence_confirmed_ >= time;
+}
+
+void membership::check_silence(time_point now, router_effects& effects)
+{
+    if (silence_check_ && now - *silence_check_ >= settings_.probe_timeout)
+    {
+        silence_confirmed_ = *silence_check_;
+        silence_check_.reset();
+    }
+    if (!silence_wanted_ || silence_check_)
+    {
+        return;
+    }
+    silence_wanted_ = false;
+    silence_check_ = now;
+    const auto members = lost();
+    lost_count_ = members.size();
+    for (const instance_id member : members)
+    {
+        send_probe(member, now, false, effects);
+    }
+}
+
+std::vector<instance_id> membership::lost() const
+{
+    std::vector<instance_id> members;
+    for (const peer& member : peers_)
+    {
+        if (member.known.state == member_state::dead &&
+            member.known.incarnation != 0 && !member.stopped &&
+            last_death_ - member.died < longest_partition)
+        {
+            members.push_back(member.known.member);
+        }
+    }
+    return members;
+}
+
 void membership::probe_dead(time_point now, router_effects& effects)
 {
     if (now < next_dead_probe_)
@@ -583,7 +664,7 @@
 
 bool membership::take_lost_ownership()
 {
-    return std::exchange(lost_ownership_, false);
+    return !paused_ && std::exchange(lost_ownership_, false);
 }
 
 bool membership::take_declared_dead()
--- a/src/coordination/membership.hpp
+++ b/src/coordination/membership.hpp
@@ -56,6 +56,18 @@
     /// time, as behind a partition. Reading the list clears it.
     std::vector<instance_id> take_returned();
 
+    /// Dead members that did not stop as planned.
+    std::vector<instance_id> lost() const;
+
+    /// To be called when a packet of an unknown flow has come that a lost
+    /// member may own: with a settled view such a packet shows that a partition
+    /// may have healed. Returns whether to wait until the lost members have
+    /// been asked.
+    bool ask_lost(time_point now);
+
+    /// Whether the lost members were asked after this time and did not answer.
+    bool silent_since(time_point time) const;
+
     /// Whether this instance was paused and declared dead meanwhile, so that
     /// others own its flows. Reading it clears it.
     bool take_lost_ownership();
@@ -81,6 +93,8 @@
         time_point last_told{}; ///< when it was told what is thought of it
         unsigned gossip_left{0};
         bool refresh_pending{false};
+        time_point died{};
+        bool stopped{false}; ///< died after it had left
     };
 
     struct pending_probe
@@ -119,10 +133,11 @@
                      router_effects& effects);
     void begin_refresh(time_point now, duration limit, bool all,
                        router_effects& effects);
-    void check_refresh(time_point now);
+    void check_refresh(time_point now, router_effects& effects);
     void check_probes(time_point now, router_effects& effects);
     void check_doubts(time_point now, router_effects& effects);
     void probe_next(time_point now, router_effects& effects);
+    void check_silence(time_point now, router_effects& effects);
     void probe_dead(time_point now, router_effects& effects);
     void send_probe(instance_id to, time_point now, bool await,
                     router_effects& effects);
@@ -151,7 +166,14 @@
     bool fresh_{false};
     time_point refresh_limit_{};
     std::size_t refresh_needed_{0};
-    bool paused_{false}; ///< since the last refresh began
+    std::uint32_t refresh_after_{0}; ///< later sequences answer the refresh
+    time_point silence_confirmed_{};
+    std::optional<time_point> silence_check_; ///< probes are under way
+    bool silence_wanted_{false};
+    time_point last_death_{};
+    std::size_t lost_count_{0};
+    std::uint64_t refuted_{0}; ///< incarnation that was doubted in a pause
+    bool paused_{false};       ///< since the last refresh began
     std::vector<instance_id> returned_;
     bool lost_ownership_{false};
     bool declared_dead_{false};
--- a/src/coordination/ownership.cpp
+++ b/src/coordination/ownership.cpp
@@ -62,7 +62,6 @@
 
 void ownership::extend_former_views(time_point now)
 {
-    returned_last_ = now;
     if (!former_.empty())
     {
         former_.front().last_used = now;
--- a/src/coordination/packet_path.cpp
+++ b/src/coordination/packet_path.cpp
@@ -78,7 +78,8 @@
         return dropped{drop_reason::view_not_fresh};
     }
     if (record.state == flow_state::waiting ||
-        record.state == flow_state::awaiting_pin)
+        record.state == flow_state::awaiting_pin ||
+        record.state == flow_state::awaiting_owner)
     {
         if (inner.flags.rst)
         {
@@ -110,7 +111,8 @@
         lifecycle_.erase(slot);
         return decide_unknown(packet);
     }
-    if (record.state != flow_state::opening)
+    if (record.state != flow_state::opening &&
+        !state_.settings.faults.replay_data)
     {
         return lifecycle_.forward(slot, placement_reason::existing_flow);
     }
@@ -129,7 +131,9 @@
 bool packet_path::may_place_again(const classified_packet& packet,
                                   const flow_record& record) const
 {
-    if (record.has_data || packet.service.withdrawn ||
+    const bool has_data =
+        record.has_data && !state_.settings.faults.replay_data;
+    if (has_data || packet.service.withdrawn ||
         record.repeated_syns < syns_before_new_place)
     {
         return false;
@@ -256,13 +260,10 @@
 packet_decision packet_path::decide_as_owner(const classified_packet& packet)
 {
     const protocol::inner_packet& inner = packet.event.packet;
-    if (inner.protocol == ip_protocol::udp)
+    if (inner.protocol == ip_protocol::udp || !inner.flags.syn ||
+        inner.flags.ack)
     {
-        return decide_unknown_udp(packet);
-    }
-    if (!inner.flags.syn || inner.flags.ack)
-    {
-        return adopt_unknown(packet);
+        return decide_lookup(packet);
     }
     if (packet.service.withdrawn)
     {
@@ -271,10 +272,10 @@
     return lifecycle_.open(packet);
 }
 
-packet_decision packet_path::adopt_unknown(const classified_packet& packet)
+packet_decision packet_path::decide_lookup(const classified_packet& packet)
 {
-    const service_id service = packet.service.definition.id;
-    if (const auto pin = state_.kept_pins.find(packet.hash, service))
+    const state::service& service = packet.service.definition;
+    if (const auto pin = state_.kept_pins.find(packet.hash, service.id))
     {
         return lifecycle_.adopt(packet, *pin, placement_reason::pin);
     }
@@ -282,6 +283,78 @@
     {
         return *passed;
     }
+    const bool is_udp = packet.key.protocol == ip_protocol::udp;
+    // A new flow of an idempotent UDP service is not worth the wait.
+    const bool may_wait = !is_udp || !service.idempotent;
+    if (may_wait && packet.event.header.hops < max_hops &&
+        state_.members.ask_lost(packet.event.now) &&
+        lifecycle_.await_owner(packet))
+    {
+        return held{};
+    }
+    return is_udp ? decide_unknown_udp(packet) : adopt_unknown(packet);
+}
+
+void packet_path::check_waits(time_point now)
+{
+    std::vector<held_flow> over;
+    for (const auto& [ticket, waiting] : state_.held.all())
+    {
+        const bool unknown =
+            state_.flows[waiting.flow.slot].state == flow_state::awaiting_owner;
+        const bool returned =
+            state_.owners.returned_owner(waiting.flow.hash, waiting.since)
+                .value != 0;
+        if (unknown && (returned || state_.members.silent_since(waiting.since)))
+        {
+            over.push_back(waiting);
+        }
+    }
+    std::sort(over.begin(), over.end(),
+              [](const held_flow& left, const held_flow& right)
+              { return left.ticket < right.ticket; });
+    for (const held_flow& waiting : over)
+    {
+        finish_wait(waiting, now);
+    }
+}
+
+void packet_path::finish_wait(const held_flow& waiting, time_point now)
+{
+    packet_event event = waiting.packet;
+    event.now = now;
+    const protocol::flow_key key = state_.flows[waiting.flow.slot].key();
+    service_table::entry& service = *state_.services.find(key.service);
+    const classified_packet packet{event, service, key, waiting.flow.hash};
+    state_.held.erase(waiting);
+    lifecycle_.erase(waiting.flow.slot);
+
+    const instance_id owner =
+        state_.owners.returned_owner(waiting.flow.hash, waiting.since);
+    packet_decision decision;
+    if (owner.value != 0)
+    {
+        decision = pass_to(owner, event);
+    }
+    else if (key.protocol == ip_protocol::udp)
+    {
+        decision = decide_unknown_udp(packet);
+    }
+    else
+    {
+        decision = adopt_unknown(packet);
+    }
+    count(decision);
+    if (!std::holds_alternative<held>(decision))
+    {
+        state_.pending.push_back(
+            release_held{waiting.ticket, decision, now - waiting.since});
+    }
+}
+
+packet_decision packet_path::adopt_unknown(const classified_packet& packet)
+{
+    const service_id service = packet.service.definition.id;
     auto upstream = former_default(packet);
     if (!upstream)
     {
@@ -303,14 +376,6 @@
 packet_decision packet_path::decide_unknown_udp(const classified_packet& packet)
 {
     const state::service& service = packet.service.definition;
-    if (const auto pin = state_.kept_pins.find(packet.hash, service.id))
-    {
-        return lifecycle_.adopt(packet, *pin, placement_reason::pin);
-    }
-    if (auto passed = pass_to_former_owner(packet))
-    {
-        return *passed;
-    }
     // A flow of a dead owner looks like a new one. One that is not idempotent
     // has a pin; another one goes on at its default.
     const auto upstream = former_default(packet);
--- a/src/coordination/packet_path.hpp
+++ b/src/coordination/packet_path.hpp
@@ -17,6 +17,9 @@
     /// Decides about one packet.
     packet_decision decide(const packet_event& event);
 
+    /// Decides packets of unknown flows that waited for lost members.
+    void check_waits(time_point now);
+
 private:
     packet_decision decide_held(const classified_packet& packet,
                                 state::flow_slot slot);
@@ -32,6 +35,8 @@
 
     packet_decision decide_unknown(const classified_packet& packet);
     packet_decision decide_as_owner(const classified_packet& packet);
+    packet_decision decide_lookup(const classified_packet& packet);
+    void finish_wait(const held_flow& waiting, time_point now);
     std::optional<packet_decision>
     pass_to_former_owner(const classified_packet& packet) const;
     std::optional<upstream_id>
--- a/src/coordination/router_settings.hpp
+++ b/src/coordination/router_settings.hpp
@@ -32,7 +32,6 @@
     bool no_handover{false};            ///< a planned stop transfers nothing
     bool no_freshness{false};           ///< decide with an old view
     bool no_pin_wait{false};            ///< first datagrams go before the ack
-    bool no_address_memory{false};      ///< forget addresses with the lease
     bool no_return_guard{false};        ///< pass packets back to their sender
     bool deviate_when_unsettled{false}; ///< placement is always free
     bool replay_data{false};            ///< place flows with data again
--- a/src/state/flow_record.hpp
+++ b/src/state/flow_record.hpp
@@ -11,13 +11,14 @@
 /// Stage of a flow at its owner.
 enum class flow_state : std::uint8_t
 {
-    free,         ///< the record holds no flow
-    waiting,      ///< in the hold queue
-    awaiting_pin, ///< placed, first datagram waits for the backup
-    opening,      ///< first packet passed on, nothing heard since
-    established,  ///< the caller confirmed that the upstream answered
-    closing,      ///< FIN or RST seen, kept for late packets
-    moved         ///< another instance owns it, kept for late packets
+    free,           ///< the record holds no flow
+    waiting,        ///< in the hold queue
+    awaiting_pin,   ///< placed, first datagram waits for the backup
+    awaiting_owner, ///< a lost member is asked whether it owns the flow
+    opening,        ///< first packet passed on, nothing heard since
+    established,    ///< the caller confirmed that the upstream answered
+    closing,        ///< FIN or RST seen, kept for late packets
+    moved           ///< another instance owns it, kept for late packets
 };
 
 /// What the owner of a flow keeps about it. Times are milliseconds of the
