--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -19,7 +19,15 @@
 constexpr std::size_t max_broadcast = 16;
 constexpr std::size_t indirect_probes = 2;
 constexpr duration dead_probe_interval = std::chrono::seconds(2);
+/// Right after a death the flows of the dead member arrive all at once; they
+/// are not made to wait for a check whether it lives after all.
+constexpr duration silence_validity = std::chrono::seconds(1);
+/// A member that has been dead for longer is not asked for its flows.
+constexpr duration longest_partition = std::chrono::hours(2);
 constexpr duration tell_interval = std::chrono::milliseconds(100);
+/// Refutations raise an incarnation by one, a new process by the milliseconds
+/// since the start of the old one.
+constexpr std::uint64_t restart_gap = 1000;
 constexpr duration relay_lifetime = std::chrono::seconds(1);
 
 bool supersedes(const member_update& update, const member_update& known)
@@ -61,25 +69,36 @@
     if (!last_tick_)
     {
         last_change_ = now;
+        last_tick_ = now;
         begin_refresh(now, settings_.suspicion_timeout, true, effects);
     }
-    else if (now - *last_tick_ > settings_.suspicion_timeout &&
-             !settings_.faults.no_freshness)
-    {
-        paused_ = true;
-        begin_refresh(now, 2 * settings_.suspicion_timeout, false, effects);
-    }
+    notice_pause(now, effects);
     last_tick_ = now;
-    check_refresh(now);
+    check_refresh(now, effects);
     check_probes(now, effects);
     check_doubts(now, effects);
     probe_next(now, effects);
+    check_silence(now, effects);
     probe_dead(now, effects);
 }
 
+void membership::notice_pause(time_point now, router_effects& effects)
+{
+    if (!last_tick_ || now - *last_tick_ <= settings_.suspicion_timeout ||
+        settings_.faults.no_freshness)
+    {
+        return;
+    }
+    last_tick_ = now;
+    paused_ = true;
+    begin_refresh(now, 2 * settings_.suspicion_timeout, false, effects);
+}
+
 bool membership::receive(const protocol::entry_envelope& envelope,
                          time_point now, router_effects& effects)
 {
+    // After a pause, messages may be read before the first tick.
+    notice_pause(now, effects);
     if (!heard(envelope, now, effects))
     {
         return false;
@@ -100,7 +119,7 @@
         }
         take_answer(envelope, *acked, effects);
     }
-    check_refresh(now);
+    check_refresh(now, effects);
     return true;
 }
 
@@ -117,7 +136,6 @@
         take({envelope.from, envelope.incarnation, member_state::alive}, now,
              effects);
     }
-    sender->refresh_pending = false;
     const bool doubted = sender->known.state == member_state::suspect ||
                          sender->known.state == member_state::dead;
     const bool earlier = envelope.incarnation < sender->known.incarnation;
@@ -160,11 +178,15 @@
     {
         return;
     }
-    if (update.state == member_state::dead)
+    if (paused_)
     {
-        lost_ownership_ = lost_ownership_ || (paused_ && !fresh_);
-        declared_dead_ = true;
+        // Refuted after the refresh: the answers must still tell whether this
+        // instance is dead, which a refutation would end.
+        lost_ownership_ = lost_ownership_ || update.state == member_state::dead;
+        refuted_ = std::max(refuted_, update.incarnation);
+        return;
     }
+    declared_dead_ = declared_dead_ || update.state == member_state::dead;
     incarnation_ = update.incarnation + 1;
     broadcast(now, effects);
 }
@@ -173,7 +195,14 @@
                            time_point now, router_effects& effects)
 {
     const bool was_owner = may_own(member.known.state);
+    member.stopped = member.known.state == member_state::leaving &&
+                     update.state == member_state::dead;
     const bool joined = member.known.state == member_state::dead;
+    if (joined && member.known.incarnation != 0 &&
+        update.incarnation - member.known.incarnation < restart_gap)
+    {
+        returned_.push_back(update.member);
+    }
     member.known = update;
     member.gossip_left = gossip_copies;
     member.doubted_since.reset();
@@ -197,7 +226,14 @@
     if (joined)
     {
         send_probe(update.member, now, false, effects);
+        broadcast(now, effects);
     }
+    if (update.state == member_state::dead)
+    {
+        last_death_ = now;
+        member.died = now;
+    }
+    lost_count_ = lost().size();
 }
 
 void membership::doubt(peer& member, time_point now, router_effects& effects)
@@ -254,6 +290,12 @@
                       return probe.target == answer.target &&
                              probe.sequence == answer.sequence;
                   });
+    // Messages that were queued during a pause are no answers to it.
+    if (peer* target = find(answer.target);
+        target != nullptr && answer.sequence > refresh_after_)
+    {
+        target->refresh_pending = false;
+    }
     const auto relayed =
         std::find_if(relayed_.begin(), relayed_.end(),
                      [&](const relayed_probe& probe)
@@ -289,6 +331,7 @@
                                router_effects& effects)
 {
     fresh_ = false;
+    refresh_after_ = sequence_;
     refresh_limit_ = now + limit;
     probes_.clear();
     std::size_t asked = 0;
@@ -311,7 +354,7 @@
     refresh_needed_ = all ? 0 : asked - std::min(asked, asked / 2 + 1);
 }
 
-void membership::check_refresh(time_point now)
+void membership::check_refresh(time_point now, router_effects& effects)
 {
     if (fresh_ || !last_tick_)
     {
@@ -326,6 +369,11 @@
         paused_ = false;
         last_change_ = now;
         ++generation_;
+        if (refuted_ >= incarnation_)
+        {
+            incarnation_ = refuted_ + 1;
+            broadcast(now, effects);
+        }
     }
 }
 
@@ -420,6 +468,57 @@
     }
 }
 
+bool membership::ask_lost(time_point now)
+{
+    if (lost_count_ == 0 || now - last_death_ < silence_validity)
+    {
+        return false;
+    }
+    silence_wanted_ = true;
+    return true;
+}
+
+bool membership::silent_since(time_point time) const
+{
+    return lost_count_ == 0 || silence_confirmed_ >= time;
+}
+
+void membership::check_silence(time_point now, router_effects& effects)
+{
+    if (silence_check_ && now - *silence_check_ >= settings_.probe_timeout)
+    {
+        silence_confirmed_ = *silence_check_;
+        silence_check_.reset();
+    }
+    if (!silence_wanted_ || silence_check_)
+    {
+        return;
+    }
+    silence_wanted_ = false;
+    silence_check_ = now;
+    const auto members = lost();
+    lost_count_ = members.size();
+    for (const instance_id member : members)
+    {
+        send_probe(member, now, false, effects);
+    }
+}
+
+std::vector<instance_id> membership::lost() const
+{
+    std::vector<instance_id> members;
+    for (const peer& member : peers_)
+    {
+        if (member.known.state == member_state::dead &&
+            member.known.incarnation != 0 && !member.stopped &&
+            last_death_ - member.died < longest_partition)
+        {
+            members.push_back(member.known.member);
+        }
+    }
+    return members;
+}
+
 void membership::probe_dead(time_point now, router_effects& effects)
 {
     if (now < next_dead_probe_)
@@ -558,9 +657,14 @@
     return known != nullptr && known->known.state != member_state::dead;
 }
 
+std::vector<instance_id> membership::take_returned()
+{
+    return std::exchange(returned_, {});
+}
+
 bool membership::take_lost_ownership()
 {
-    return std::exchange(lost_ownership_, false);
+    return !paused_ && std::exchange(lost_ownership_, false);
 }
 
 bool membership::take_declared_dead()
