Follow the renamed apply_update and keep parameters out of test names

Cause: CTest names held the bytes of test parameters, which are addresses and differ between builds, so a test could not be named in KNOWN-RED.txt. Change: gtest_discover_tests runs with NO_PRETTY_VALUES. Conclusion: names are the same in each build.

--- a/cmake/layers.cmake
+++ b/cmake/layers.cmake
@@ -45,7 +45,7 @@
         GTest::gtest_main rapidcheck)
     target_compile_definitions(${name} PRIVATE
         BORAGESTAND_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
-    gtest_discover_tests(${name} PROPERTIES
+    gtest_discover_tests(${name} NO_PRETTY_VALUES PROPERTIES
         ENVIRONMENT "RC_PARAMS=seed=4117" TIMEOUT 300
         DISCOVERY_TIMEOUT 60)
 endfunction()
--- a/src/boragestand-entry/configuration_follower.cpp
+++ b/src/boragestand-entry/configuration_follower.cpp
@@ -139,7 +139,7 @@
         fail(from, update.error());
         return false;
     }
-    auto next = state::apply(*update, current_);
+    auto next = state::apply_update(*update, current_);
     if (!next)
     {
         fail(from, next.error());
