Add boragestand-control

An instance without a history finds out what it is from the others (GET /v1/identity): the founding member with the lowest number decides the first group once all have answered that they are new; an instance whose number the group knows under another identity has lost its disk and asks the leader to replace it. Deciding by settings alone was ruled out, since an emptied disk looks like a new one.

--- /dev/null
+++ b/src/boragestand-control/control_program.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "http_api.hpp"
+#include "settings/settings.hpp"
+
+#include <memory>
+#include <optional>
+
+namespace boragestand::control
+{
+
+/// A control instance: binds disk, replica, HTTP/2 server and timers.
+class control_program
+{
+public:
+    /// Opens disk and server and starts the replica.
+    static result<std::unique_ptr<control_program>>
+    open(transport::main_loop& loop, transport::timer_service& timers,
+         const settings::control_settings& settings, settings::event_log& log);
+
+    /// Stops as planned: hands leadership over, finishes answers in flight and
+    /// ends the loop.
+    void request_stop();
+
+    /// The error that ended the loop, if it was not a planned stop.
+    const std::optional<error>& failed_with() const { return failure_; }
+
+private:
+    struct addresses
+    {
+        transport::endpoint own;
+        transport::endpoint director;
+        std::vector<group_founding::founder> founders;
+    };
+
+    control_program(transport::main_loop& loop,
+                    transport::timer_service& timers,
+                    const settings::control_settings& settings,
+                    const addresses& endpoints,
+                    std::unique_ptr<replica_disk> disk,
+                    settings::event_log& log);
+
+    static result<addresses>
+    read_addresses(const settings::control_settings& settings);
+    result<void> start(const transport::endpoint& address);
+    void continue_stop(time_point now);
+    void fail(const error& cause);
+
+    transport::main_loop& loop_;
+    transport::timer_service& timers_;
+    control_log log_;
+    peer_link peers_;
+    replica_host host_;
+    configuration_streams streams_;
+    director_requests director_;
+    entry_reports reports_;
+    command_service commands_;
+    member_service members_;
+    group_founding founding_;
+    http_api api_;
+    std::unique_ptr<transport::http2_server> server_;
+    transport::subscription omitted_lines_;
+    transport::subscription stop_timer_;
+    std::optional<time_point> stop_deadline_;
+    bool closing_{false};
+    std::optional<error> failure_;
+};
+
+} // namespace boragestand::control
--- /dev/null
+++ b/src/boragestand-control/group_founding.cpp
@@ -0,0 +1,205 @@
+#include "group_founding.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace boragestand::control
+{
+
+namespace
+{
+
+constexpr duration poll_interval = std::chrono::milliseconds(500);
+constexpr duration answer_timeout = std::chrono::milliseconds(400);
+constexpr duration replacement_timeout = std::chrono::seconds(3);
+
+} // namespace
+
+group_founding::group_founding(std::uint32_t self,
+                               const transport::endpoint& address,
+                               std::vector<founder> founders,
+                               replica_host& host,
+                               transport::timer_service& timers,
+                               peer_link& peers, control_log& log)
+    : self_(self)
+    , address_(address)
+    , founders_(std::move(founders))
+    , host_(host)
+    , timers_(timers)
+    , peers_(peers)
+    , log_(log)
+{
+}
+
+bool group_founding::is_member() const
+{
+    return host_.node().group().find(host_.node().self()) != nullptr;
+}
+
+// One decider means that there is one first group.
+bool group_founding::is_decider() const
+{
+    bool listed = false;
+    for (const auto& each : founders_)
+    {
+        if (each.instance < self_)
+        {
+            return false;
+        }
+        listed = listed || each.instance == self_;
+    }
+    return listed;
+}
+
+void group_founding::start()
+{
+    if (is_member())
+    {
+        return;
+    }
+    polling_ = timers_.every(poll_interval, [this](time_point) { poll(); });
+    poll();
+}
+
+founding_status group_founding::status() const
+{
+    const auto& node = host_.node();
+    founding_status status;
+    status.replica = node.self();
+    status.group = node.group();
+    status.group.retired.clear();
+    status.formed = !status.group.members.empty() || node.last().index > 0;
+    status.founding_group = node.snapshot_index() == 0 &&
+                            node.last_group_index() == 0 && status.formed;
+    status.leader = host_.leader_address().value_or(transport::endpoint{});
+    return status;
+}
+
+void group_founding::poll()
+{
+    if (is_member())
+    {
+        // This may run inside the timer's own callback.
+        peers_.post([this] { polling_.cancel(); });
+        return;
+    }
+    found_if_complete();
+    for (const auto& other : founders_)
+    {
+        if (other.instance != self_)
+        {
+            ask(other);
+        }
+    }
+}
+
+void group_founding::ask(const founder& other)
+{
+    peers_.request(
+        other.address,
+        {.method = "GET", .path = "/v1/identity", .headers = {}, .body = {}},
+        answer_timeout,
+        [this, other](const result<transport::http_response>& response)
+        {
+            if (!response || response->status != 200 || is_member())
+            {
+                return;
+            }
+            const auto status = founding_status_from_json(response->body);
+            if (!status)
+            {
+                log_.bad_input("identity", status.error(), other.address,
+                               timers_.now());
+                return;
+            }
+            take(other.instance, *status);
+        });
+}
+
+void group_founding::take(std::uint32_t instance, const founding_status& status)
+{
+    if (status.formed)
+    {
+        join(status);
+        return;
+    }
+    new_founders_[instance] = status.replica;
+    found_if_complete();
+}
+
+void group_founding::found_if_complete()
+{
+    if (!is_decider() || new_founders_.size() + 1 != founders_.size() ||
+        is_member() || host_.node().last().index > 0)
+    {
+        return;
+    }
+    protocol::replica_group group;
+    for (const auto& each : founders_)
+    {
+        const auto id = each.instance == self_ ? host_.node().self()
+                                               : new_founders_[each.instance];
+        group.members.push_back({id, each.address, true, 0});
+    }
+    std::sort(group.members.begin(), group.members.end());
+    adopt(group);
+}
+
+void group_founding::adopt(const protocol::replica_group& group)
+{
+    const auto outcome = host_.found(group);
+    if (!outcome)
+    {
+        log_.failed(outcome.error());
+    }
+}
+
+void group_founding::join(const founding_status& status)
+{
+    const auto own = host_.node().self();
+    if (status.group.find(own) != nullptr)
+    {
+        // In a later group the leader sends what this instance needs.
+        if (status.founding_group && host_.node().group().members.empty())
+        {
+            adopt(status.group);
+        }
+        return;
+    }
+    for (const auto& member : status.group.members)
+    {
+        if (instance_of(member.id) == self_)
+        {
+            request_replacement(status, member.id);
+            return;
+        }
+    }
+}
+
+void group_founding::request_replacement(const founding_status& status,
+                                         replica_id replaced)
+{
+    if (!replacement_logged_)
+    {
+        replacement_logged_ = true;
+        log_.disk_replaced(host_.node().self(), replaced);
+    }
+    if (status.leader.address == 0)
+    {
+        return;
+    }
+    const nlohmann::json body{{"action", "replace"},
+                              {"id", self_},
+                              {"http", transport::to_string(address_)},
+                              {"replaces", self_}};
+    peers_.request(status.leader,
+                   {.method = "POST",
+                    .path = "/v1/members",
+                    .headers = {},
+                    .body = body.dump()},
+                   replacement_timeout,
+                   [](const result<transport::http_response>&) {});
+}
+
+} // namespace boragestand::control
--- /dev/null
+++ b/src/boragestand-control/http_api.cpp
@@ -0,0 +1,273 @@
+#include "http_api.hpp"
+
+#include "state/command_http.hpp"
+#include "state/configuration_json.hpp"
+#include "state/control_status.hpp"
+
+#include <charconv>
+
+namespace boragestand::control
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::string_view stream_path = "/v1/configuration/stream";
+constexpr std::string_view note_path = "/v1/notes/";
+
+// Longest reason and service name of a director's request in bytes.
+constexpr std::size_t max_reason_size = 512;
+
+std::optional<std::uint64_t> number_of(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const auto* end = text.data() + text.size();
+    const auto [stop, fault] = std::from_chars(text.data(), end, number);
+    return fault == std::errc{} && stop == end ? std::optional(number)
+                                               : std::nullopt;
+}
+
+std::string role_of(const coordination::agreement_node& node)
+{
+    if (node.role() == coordination::agreement_role::leader)
+    {
+        return "leader";
+    }
+    if (node.role() != coordination::agreement_role::follower)
+    {
+        return "candidate";
+    }
+    return node.group().is_voter(node.self()) ? "follower" : "learner";
+}
+
+void refuse(const transport::http_request& request, error_kind kind,
+            const std::string& message, const http_api::exchange& answer)
+{
+    answer->respond(state::to_http(
+        error{kind, request.method + " " + request.path + ": " + message}));
+}
+
+} // namespace
+
+void http_api::handle(const transport::http_request& request,
+                      const exchange& answer)
+{
+    const bool changes =
+        state::is_command(request) || request.path == "/v1/members";
+    if (stopping_ && changes)
+    {
+        refuse(request, error_kind::unavailable, "this instance stops", answer);
+        return;
+    }
+    if (state::is_command(request))
+    {
+        parts_.commands.handle(request, answer);
+        return;
+    }
+    const bool known = request.method == "GET" ? handle_get(request, answer)
+                                               : handle_post(request, answer);
+    if (!known)
+    {
+        refuse(request, error_kind::not_found, "no such request", answer);
+    }
+}
+
+bool http_api::handle_get(const transport::http_request& request,
+                          const exchange& answer)
+{
+    const std::string_view path = request.path;
+    if (path == "/v1/identity")
+    {
+        answer->respond({.status = 200,
+                         .headers = {},
+                         .body = to_json(parts_.founding.status())});
+        return true;
+    }
+    if (path == "/v1/status")
+    {
+        answer->respond({.status = 200, .headers = {}, .body = status()});
+        return true;
+    }
+    if (path == "/v1/configuration")
+    {
+        const auto current = parts_.host.state().current();
+        answer->respond(state::json_response(200, state::to_json(*current)));
+        return true;
+    }
+    if (path.substr(0, path.find('?')) == stream_path)
+    {
+        open_stream(path, answer);
+        return true;
+    }
+    if (path.starts_with(note_path))
+    {
+        show_note(path.substr(note_path.size()), answer);
+        return true;
+    }
+    return false;
+}
+
+bool http_api::handle_post(const transport::http_request& request,
+                           const exchange& answer)
+{
+    if (request.method != "POST")
+    {
+        return false;
+    }
+    if (request.path == "/v1/peer")
+    {
+        receive_peer(request, answer);
+        return true;
+    }
+    if (request.path == "/v1/revisions")
+    {
+        report_revision(request, answer);
+        return true;
+    }
+    if (request.path == "/v1/director-requests")
+    {
+        request_director(request, answer);
+        return true;
+    }
+    if (request.path == "/v1/members")
+    {
+        parts_.members.handle(request, answer);
+        return true;
+    }
+    if (request.path == "/v1/notes/check")
+    {
+        answer->respond(state::check_response(
+            parts_.host.state().check_note(request.body)));
+        return true;
+    }
+    return false;
+}
+
+void http_api::receive_peer(const transport::http_request& request,
+                            const exchange& answer)
+{
+    const auto envelope = protocol::decode_agreement_message(request.body);
+    if (!envelope)
+    {
+        parts_.log.bad_input("peer", envelope.error(), answer->peer(),
+                             parts_.timers.now());
+        answer->respond(state::to_http(envelope.error()));
+        return;
+    }
+    answer->respond({.status = 204, .headers = {}, .body = {}});
+    parts_.host.receive(*envelope);
+}
+
+void http_api::report_revision(const transport::http_request& request,
+                               const exchange& answer)
+{
+    const json body = json::parse(request.body, nullptr, false);
+    try
+    {
+        const auto instance = body.at("instance").get<std::uint32_t>();
+        const auto revision = body.at("revision").get<std::uint64_t>();
+        const auto changed = parts_.reports.take(
+            instance, body.at("incarnation").get<std::uint64_t>(), revision,
+            parts_.timers.now());
+        if (!changed)
+        {
+            answer->respond(state::to_http(changed.error()));
+            return;
+        }
+        if (*changed)
+        {
+            parts_.log.revision_reported(instance, revision);
+        }
+        answer->respond({.status = 200, .headers = {}, .body = "{}"});
+    }
+    catch (const json::exception& problem)
+    {
+        refuse(request, error_kind::invalid_argument, problem.what(), answer);
+    }
+}
+
+void http_api::request_director(const transport::http_request& request,
+                                const exchange& answer)
+{
+    const json body = json::parse(request.body, nullptr, false);
+    try
+    {
+        const director_wish wish{body.at("instance").get<std::uint32_t>(),
+                                 body.at("service").get<std::string>(),
+                                 body.at("episode").get<std::uint64_t>(),
+                                 body.at("reason").get<std::string>()};
+        if (wish.service.size() > max_reason_size ||
+            wish.reason.size() > max_reason_size)
+        {
+            refuse(request, error_kind::invalid_argument, "text too long",
+                   answer);
+            return;
+        }
+        parts_.director.add(wish, answer);
+    }
+    catch (const json::exception& problem)
+    {
+        refuse(request, error_kind::invalid_argument, problem.what(), answer);
+    }
+}
+
+void http_api::show_note(std::string_view number, const exchange& answer)
+{
+    const auto wanted = number_of(number);
+    const auto* note =
+        wanted ? parts_.host.state().find_note(*wanted) : nullptr;
+    if (note == nullptr)
+    {
+        answer->respond(state::to_http(
+            error{error_kind::not_found,
+                  "no accepted note has number " + std::string(number)}));
+        return;
+    }
+    answer->respond(state::to_http(*note));
+}
+
+void http_api::open_stream(std::string_view path, const exchange& answer)
+{
+    constexpr std::string_view query = "?after=";
+    const auto rest = path.substr(stream_path.size());
+    const auto after = rest.starts_with(query)
+                           ? number_of(rest.substr(query.size()))
+                           : std::nullopt;
+    if (!after)
+    {
+        answer->respond(state::to_http(
+            error{error_kind::invalid_argument, "?after=REVISION is needed"}));
+        return;
+    }
+    parts_.streams.add(answer, *after, parts_.host.state());
+}
+
+std::string http_api::status() const
+{
+    const auto& node = parts_.host.node();
+    const auto configuration = parts_.host.state().current();
+    state::control_status status;
+    status.instance = instance_id{instance_of(node.self())};
+    status.role = role_of(node);
+    status.term = node.term();
+    if (const auto leader = parts_.host.leader_address())
+    {
+        status.leader = transport::to_string(*leader);
+    }
+    status.commit_index = node.commit_index();
+    status.applied_index = node.commit_index();
+    status.revision = configuration->revision;
+    status.note_number = configuration->note_number;
+    for (const auto& member : node.group().members)
+    {
+        status.members.push_back({instance_id{instance_of(member.id)},
+                                  transport::to_string(member.address),
+                                  member.voter});
+    }
+    status.entries = parts_.reports.list(parts_.timers.now());
+    return state::to_json(status).dump();
+}
+
+} // namespace boragestand::control
--- /dev/null
+++ b/src/boragestand-control/http_api.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "command_service.hpp"
+#include "configuration_streams.hpp"
+#include "director_requests.hpp"
+#include "entry_reports.hpp"
+#include "group_founding.hpp"
+#include "member_service.hpp"
+
+namespace boragestand::control
+{
+
+/// Parts that requests are answered from.
+struct api_parts
+{
+    replica_host& host;
+    group_founding& founding;
+    command_service& commands;
+    member_service& members;
+    configuration_streams& streams;
+    entry_reports& reports;
+    director_requests& director;
+    transport::timer_service& timers;
+    control_log& log;
+};
+
+/// Answers the HTTP/2 requests of operators, entry instances and other control
+/// instances.
+class http_api
+{
+public:
+    using exchange = std::shared_ptr<transport::http_exchange>;
+
+    explicit http_api(const api_parts& parts) : parts_(parts) {}
+
+    /// Answers one request.
+    void handle(const transport::http_request& request, const exchange& answer);
+
+    /// Turns commands and member changes away from now on.
+    void stop_accepting() { stopping_ = true; }
+
+private:
+    bool handle_get(const transport::http_request& request,
+                    const exchange& answer);
+    bool handle_post(const transport::http_request& request,
+                     const exchange& answer);
+    void receive_peer(const transport::http_request& request,
+                      const exchange& answer);
+    void report_revision(const transport::http_request& request,
+                         const exchange& answer);
+    void request_director(const transport::http_request& request,
+                          const exchange& answer);
+    void show_note(std::string_view number, const exchange& answer);
+    void open_stream(std::string_view path, const exchange& answer);
+    std::string status() const;
+
+    api_parts parts_;
+    bool stopping_{false};
+};
+
+} // namespace boragestand::control
--- /dev/null
+++ b/src/boragestand-control/peer_link.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "coordination/coordination.hpp"
+#include "transport/transport.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace boragestand::control
+{
+
+/// Sends messages to other control instances, one HTTP/2 connection to each.
+/// Messages may be lost; the algorithm repeats them.
+class peer_link
+{
+public:
+    peer_link(transport::main_loop& loop, transport::timer_service& timers);
+
+    /// Sends a message of agreement.
+    void send(const coordination::send_message& message);
+
+    /// Sends any request.
+    void request(const transport::endpoint& address,
+                 transport::http_request request, duration timeout,
+                 transport::http2_client::response_callback callback);
+
+    /// Calls back on the next turn of the loop.
+    void post(std::function<void()> callback)
+    {
+        loop_.post(std::move(callback));
+    }
+
+private:
+    struct peer
+    {
+        std::unique_ptr<transport::http2_client> client;
+        std::size_t open{0}; ///< messages without an answer
+    };
+
+    peer& peer_at(const transport::endpoint& address);
+
+    transport::main_loop& loop_;
+    transport::timer_service& timers_;
+    std::map<transport::endpoint, peer> peers_;
+};
+
+} // namespace boragestand::control
--- /dev/null
+++ b/src/boragestand-control/replica_disk.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "coordination/coordination.hpp"
+#include "state/state.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace boragestand::control
+{
+
+/// The data directory of a control instance: identity, hard state, snapshot and
+/// log.
+class replica_disk
+{
+public:
+    /// Opens the directory; error_kind::storage_corrupt, with file and offset,
+    /// if it is damaged.
+    static result<std::unique_ptr<replica_disk>> open(const std::string& path);
+
+    /// Gives an empty directory its identity, durably.
+    result<void> create(replica_id self);
+
+    /// Whether the directory has no identity yet.
+    bool is_empty() const { return condition_ == state::disk_condition::empty; }
+
+    /// Whether it holds a snapshot or entries, so that the replica has been
+    /// part of a group.
+    bool has_history() const;
+
+    /// Identity on this disk; 0 if it is empty.
+    replica_id self() const { return hard_.current().self; }
+
+    /// Makes the first group durable, as a snapshot at index 0.
+    result<void> save_founders(const protocol::replica_group& founders);
+
+    /// What an agreement_node starts with.
+    coordination::agreement_start start(const transport::endpoint& address,
+                                        std::uint64_t seed) const;
+
+    /// What the last open() repaired.
+    const state::log_recovery& recovery() const { return recovery_; }
+
+    /// Carries out effects that make something durable.
+    result<void> carry_out(const coordination::persist_hard_state& effect);
+    result<void> carry_out(const coordination::persist_snapshot& effect);
+    result<void> carry_out(const coordination::persist_entries& effect);
+
+private:
+    explicit replica_disk(std::unique_ptr<state::file_disk> files);
+
+    result<void> read();
+
+    std::unique_ptr<state::file_disk> files_;
+    state::hard_state_store hard_;
+    state::snapshot_store snapshots_;
+    std::optional<state::durable_log> log_;
+    std::optional<protocol::agreement_snapshot> snapshot_;
+    state::log_recovery recovery_;
+    state::disk_condition condition_{state::disk_condition::empty};
+};
+
+} // namespace boragestand::control
--- a/src/coordination/agreement_node.hpp
+++ b/src/coordination/agreement_node.hpp
@@ -46,6 +46,10 @@
     /// The newest group in the log, committed or not.
     const protocol::replica_group& group() const { return core_.log().group(); }
 
+    /// Index of the entry that set group(), 0 if it is the first group or comes
+    /// from the snapshot.
+    std::uint64_t last_group_index() const { return core_.log().group_index(); }
+
     /// The group after the last committed entry.
     const protocol::replica_group& committed_group() const
     {
