--- a/src/transport/http2_message.hpp
+++ b/src/transport/http2_message.hpp
@@ -19,8 +19,8 @@
 {
     std::string method{"GET"};
     std::string path{"/"};
-    http_headers headers;
-    std::string body;
+    http_headers headers{};
+    std::string body{};
 
     auto operator<=>(const http_request&) const = default;
 };
@@ -29,8 +29,8 @@
 struct http_response
 {
     int status{200};
-    http_headers headers;
-    std::string body;
+    http_headers headers{};
+    std::string body{};
 
     auto operator<=>(const http_response&) const = default;
 };
