--- a/src/state/control_state.hpp
+++ b/src/state/control_state.hpp
@@ -33,7 +33,7 @@
 struct control_limits
 {
     std::size_t clients{1024};            ///< with their last outcome
-    std::size_t notes{100000};            ///< numbers and digests
+    std::size_t notes{50000};             ///< numbers and digests
     std::size_t note_texts{64};           ///< newest texts
     std::size_t note_text_bytes{1 << 21}; ///< all texts together
     std::size_t deltas{256};              ///< newest changes
