--- a/src/coordination/placement.hpp
+++ b/src/coordination/placement.hpp
@@ -14,7 +14,9 @@
     upstream_id upstream;
     std::uint16_t weight{0};
     std::uint32_t slots{0};
+    std::uint32_t room{0}; ///< flows that may run there; keeps its slots busy
     std::uint32_t connections{0};
+    bool reserved{true}; ///< only this owner starts long work outside the zone
     estimated_load load;
 
     auto operator<=>(const placement_candidate&) const = default;
@@ -28,8 +30,6 @@
     bool may_deviate{true};
     /// Whether the flows of the service occupy slots while they are open.
     bool slots_bind{true};
-    /// Flows that may wait at an upstream beyond its slots.
-    std::uint32_t pipeline{0};
     unsigned imbalance_percent{105};
 
     auto operator<=>(const placement_request&) const = default;
