Keep slots busy where held flows are released at ticks

Placement now counts the mean delay of a tick among the gaps of a slot, and lets one more flow wait at the upstream where gaps matter. Load counts change through named calls.

A caller without a deadline waits for the whole hold limit; before, twice the expected time was taken off, which left long work no wait at all.

--- a/src/boragestand-model/owner_placement.cpp
+++ b/src/boragestand-model/owner_placement.cpp
@@ -44,10 +44,6 @@
 {
     const unsigned owner = owner_of(evidence.flow_hash);
     owners_[owner].note(evidence, events_.now());
-    if (std::holds_alternative<coordination::flow_ended>(evidence.what))
-    {
-        poll(owner);
-    }
 }
 
 void owner_placement::note(const coordination::endpoint_report& report)
--- a/src/coordination/load_view.cpp
+++ b/src/coordination/load_view.cpp
@@ -15,6 +15,12 @@
     return static_cast<std::uint16_t>(std::min(count, most));
 }
 
+// A count that events were lost for does not fall below 0.
+void lower(std::uint32_t& count)
+{
+    count -= count > 0 ? 1 : 0;
+}
+
 std::uint32_t growth(std::uint32_t now, std::uint32_t before)
 {
     return now > before ? now - before : 0;
@@ -22,6 +28,38 @@
 
 } // namespace
 
+void load_view::opened(upstream_id upstream)
+{
+    ++own_[upstream].now.open;
+}
+
+void load_view::closed(upstream_id upstream)
+{
+    lower(own_[upstream].now.open);
+}
+
+void load_view::started(upstream_id upstream, bool is_long)
+{
+    own_load& own = own_[upstream];
+    ++own.now.running;
+    own.now.long_work += is_long ? 1 : 0;
+}
+
+void load_view::stopped(upstream_id upstream, bool is_long)
+{
+    own_load& own = own_[upstream];
+    lower(own.now.running);
+    if (is_long)
+    {
+        lower(own.now.long_work);
+    }
+}
+
+void load_view::became_long(upstream_id upstream)
+{
+    ++own_[upstream].now.long_work;
+}
+
 void load_view::apply(instance_id from,
                       std::vector<protocol::upstream_load> loads,
                       time_point now)
@@ -65,8 +103,8 @@
     const own_load& mine = found->second;
     const auto peers = static_cast<std::uint32_t>(peers_.size());
     load.open += mine.now.open;
-    load.running += mine.now.running +
-                    peers * growth(mine.now.running, mine.reported.running);
+    load.running +=
+        mine.now.running + peers * growth(mine.now.running, mine.reported);
     load.long_work += mine.now.long_work;
     return load;
 }
@@ -77,7 +115,7 @@
                   { return item.second.now == estimated_load{}; });
     for (auto& [upstream, load] : own_)
     {
-        load.reported = load.now;
+        load.reported = load.now.running;
         report.loads.push_back({service, upstream, load.now.open,
                                 narrowed(load.now.running),
                                 narrowed(load.now.long_work)});
--- a/src/coordination/load_view.hpp
+++ b/src/coordination/load_view.hpp
@@ -27,8 +27,20 @@
 public:
     explicit load_view(instance_id self) : self_(self) {}
 
-    /// Own counts of an upstream, to be changed as flows come and go.
-    estimated_load& own(upstream_id upstream) { return own_[upstream].now; }
+    /// A flow of this owner was opened on the upstream.
+    void opened(upstream_id upstream);
+
+    /// A flow of this owner on the upstream ended.
+    void closed(upstream_id upstream);
+
+    /// A flow of this owner occupies a slot of the upstream from now on.
+    void started(upstream_id upstream, bool is_long);
+
+    /// A flow of this owner occupies its slot no more.
+    void stopped(upstream_id upstream, bool is_long);
+
+    /// A flow that occupies a slot is long from now on.
+    void became_long(upstream_id upstream);
 
     /// Takes the part of a report that is about this service.
     void apply(instance_id from, std::vector<protocol::upstream_load> loads,
@@ -64,7 +76,7 @@
     struct own_load
     {
         estimated_load now;
-        estimated_load reported;
+        std::uint32_t reported{0}; ///< running flows at the last report
     };
 
     struct peer_load
--- a/src/coordination/service_times.cpp
+++ b/src/coordination/service_times.cpp
@@ -11,8 +11,15 @@
 
 constexpr double weight_of_new = 1.0 / 32;
 
+// With at least this many flows for each slot, one more flow waits at the
+// upstream, since the gaps between flows vary.
+constexpr double gap_that_matters = 1.2;
+
 // Bounds the flows for each slot if handshakes take most of the time.
-constexpr double most_flows_per_slot = 2.0;
+constexpr double most_flows_per_slot = 2.5;
+
+// Held flows are released at ticks of 10 ms.
+constexpr double mean_release_delay_us = 5000;
 
 duration microseconds_of(double value)
 {
@@ -45,12 +52,16 @@
 std::uint32_t service_times::flows_for(std::uint32_t slots) const
 {
     const double open = short_open_.value();
-    const double busy = open - 2 * handshake_.value();
+    const double busy = open - 2 * handshake_.value() - mean_release_delay_us;
     const double flows_per_slot =
         busy * most_flows_per_slot > open ? open / busy : most_flows_per_slot;
-    return open > 0
-               ? static_cast<std::uint32_t>(std::ceil(slots * flows_per_slot))
-               : slots;
+    if (slots == 0 || open <= 0 || flows_per_slot < 1.0)
+    {
+        return slots;
+    }
+    const auto flows =
+        static_cast<std::uint32_t>(std::ceil(slots * flows_per_slot));
+    return flows_per_slot < gap_that_matters ? flows : flows + 1;
 }
 
 void service_times::mean_time::add(duration value)
--- a/src/coordination/service_traffic.cpp
+++ b/src/coordination/service_traffic.cpp
@@ -159,17 +159,27 @@
     return hold(arrival, share, now);
 }
 
-admission service_traffic::hold(const flow_arrival& arrival,
-                                std::uint16_t share, time_point now)
+// A caller without a deadline has the hold limit of the service as its time.
+// One with a deadline waits at most until the flow could not be answered in
+// time any more, but for half of its time in any case, since expected times
+// may be wrong.
+duration service_traffic::wait_limit(const flow_arrival& arrival) const
 {
     const duration limit = std::chrono::milliseconds(definition_.hold_limit_ms);
+    if (arrival.time_left <= duration(0) || arrival.time_left == limit)
+    {
+        return limit;
+    }
     const bool is_long = arrival.work == protocol::request_class::long_work;
-    // Released later, the flow could not be answered in time.
-    const duration left =
-        arrival.time_left - deadline_margin * times_.open_time(is_long);
-    const duration wait = arrival.time_left > duration(0)
-                              ? std::clamp(left, duration(0), limit)
-                              : limit;
+    const duration margin = deadline_margin * times_.open_time(is_long);
+    return std::min(arrival.time_left - std::min(margin, arrival.time_left / 2),
+                    limit);
+}
+
+admission service_traffic::hold(const flow_arrival& arrival,
+                                std::uint16_t share, time_point now)
+{
+    const duration wait = wait_limit(arrival);
     if (queue_.push({arrival, share, now, now + wait},
                     definition_.hold_capacity))
     {
@@ -219,10 +229,8 @@
     flow.counted = true;
     flow.is_long = arrival.work == protocol::request_class::long_work;
     running_.start(arrival.flow_hash, flow);
-    estimated_load& own = load_.own(upstream);
-    ++own.open;
-    ++own.running;
-    own.long_work += flow.is_long ? 1 : 0;
+    load_.opened(upstream);
+    load_.started(upstream, flow.is_long);
     if (share != 0)
     {
         ++share_running_[share];
@@ -262,7 +270,7 @@
     times_.note(evidence);
     if (std::holds_alternative<flow_adopted>(evidence.what))
     {
-        ++load_.own(evidence.upstream).open;
+        load_.opened(evidence.upstream);
         return;
     }
     if (std::holds_alternative<flow_ended>(evidence.what))
@@ -274,7 +282,7 @@
     {
         if (const auto flow = running_.become_long(evidence.flow_hash))
         {
-            ++load_.own(flow->upstream).long_work;
+            load_.became_long(flow->upstream);
         }
         return;
     }
@@ -287,16 +295,13 @@
         running_.progress(evidence.flow_hash, evidence.upstream, is_long, now);
     if (flow)
     {
-        estimated_load& own = load_.own(flow->upstream);
-        ++own.running;
-        own.long_work += flow->is_long ? 1 : 0;
+        load_.started(flow->upstream, flow->is_long);
     }
 }
 
 void service_traffic::end_flow(const flow_evidence& evidence)
 {
-    estimated_load& own = load_.own(evidence.upstream);
-    own.open -= own.open > 0 ? 1 : 0;
+    load_.closed(evidence.upstream);
     if (const auto flow = running_.end(evidence.flow_hash))
     {
         free_slot(*flow);
@@ -305,9 +310,7 @@
 
 void service_traffic::free_slot(const running_flow& flow)
 {
-    estimated_load& own = load_.own(flow.upstream);
-    own.running -= own.running > 0 ? 1 : 0;
-    own.long_work -= flow.is_long && own.long_work > 0 ? 1 : 0;
+    load_.stopped(flow.upstream, flow.is_long);
     if (flow.share != 0)
     {
         --share_running_[flow.share];
--- a/src/coordination/service_traffic.hpp
+++ b/src/coordination/service_traffic.hpp
@@ -99,6 +99,7 @@
     void refresh(time_point now);
     void load_candidates(time_point now);
     admission admit_known(const flow_arrival& arrival, time_point now);
+    duration wait_limit(const flow_arrival& arrival) const;
     admission hold(const flow_arrival& arrival, std::uint16_t share,
                    time_point now);
     std::optional<placed> place(const flow_arrival& arrival,
