Bound hand-over when views differ and members come back together

Two instances whose views differed gave a flow to each other and lost it; a transfer is now confirmed only by an instance that owns the flow, and offers are withdrawn when the view changes. A stopping instance adopted the new datagram flows that it was asked for and never became empty. Returning members are asked only when all of them are known.

--- a/src/coordination/flow_lifecycle.cpp
+++ b/src/coordination/flow_lifecycle.cpp
@@ -297,8 +297,10 @@
 {
     const std::uint64_t hash = protocol::hash_of(transfer.key);
     auto* service = state_.services.find(transfer.key.service);
-    if (service == nullptr)
+    if (service == nullptr || state_.owners.owner(hash) != state_.settings.self)
     {
+        // Confirmed only once the views of both agree; a flow that each gave
+        // to the other would be lost.
         return false;
     }
     flow_slot slot = state_.flows.find(transfer.key, hash);
@@ -308,12 +310,14 @@
         const auto own_age = since(own.opened_ms, now);
         const bool placed_here =
             own.state == flow_state::opening && !own.has_data;
-        if (!placed_here ||
-            own_age >= std::chrono::milliseconds(transfer.age_ms))
+        const bool older =
+            own_age >= std::chrono::milliseconds(transfer.age_ms);
+        if (own.state != flow_state::moved && (!placed_here || older))
         {
             return true;
         }
-        // A repeated SYN arrived here first; the older flow goes on.
+        // The flow comes back, or a repeated SYN arrived here first and the
+        // older flow goes on.
         erase(slot);
     }
     slot = state_.flows.insert(transfer.key, hash);
--- a/src/coordination/flow_router.cpp
+++ b/src/coordination/flow_router.cpp
@@ -205,6 +205,7 @@
     {
         view_generation = state.members.generation();
         state.owners.set_view(state.members.eligible(), now);
+        state.transfers.withdraw();
     }
     const std::size_t last = effects.size();
     for (std::size_t index = first; index < last; ++index)
@@ -231,7 +232,6 @@
     state.traffic.forget(id);
     state.kept_pins.orphan(id, now + orphan_time);
     state.pins.member_died(id);
-    state.transfers.member_died(id);
 }
 
 void flow_router::implementation::give_up_flows()
--- a/src/coordination/handover.cpp
+++ b/src/coordination/handover.cpp
@@ -111,20 +111,18 @@
     unconfirmed_.erase(found);
 }
 
-void handover::member_died(instance_id id)
+void handover::withdraw()
 {
-    release(offered_[id]);
-    offered_.erase(id);
-    for (auto sent = unconfirmed_.begin(); sent != unconfirmed_.end();)
+    for (auto& [successor, flows] : offered_)
     {
-        if (sent->second.successor != id)
-        {
-            ++sent;
-            continue;
-        }
-        release(sent->second.flows);
-        sent = unconfirmed_.erase(sent);
+        release(flows);
+    }
+    offered_.clear();
+    for (auto& [sequence, sent] : unconfirmed_)
+    {
+        release(sent.flows);
     }
+    unconfirmed_.clear();
 }
 
 void handover::release(const std::vector<flow_reference>& flows)
--- a/src/coordination/handover.hpp
+++ b/src/coordination/handover.hpp
@@ -30,8 +30,9 @@
     void acknowledged(instance_id from, std::uint32_t sequence,
                       std::vector<flow_reference>& transferred);
 
-    /// Frees the flows that were offered to a dead member.
-    void member_died(instance_id id);
+    /// The view has changed: frees all flows that were offered and not
+    /// confirmed, so that they are offered to their present owners.
+    void withdraw();
 
     /// Flows that were transferred since the start.
     std::uint64_t flows_transferred() const { return flows_transferred_; }
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -19,6 +19,8 @@
 constexpr std::size_t max_broadcast = 16;
 constexpr std::size_t indirect_probes = 2;
 constexpr duration dead_probe_interval = std::chrono::seconds(2);
+/// Members behind one partition come back within this time of each other.
+constexpr duration merge_time = std::chrono::milliseconds(100);
 /// Right after a death the flows of the dead member arrive all at once; they
 /// are not made to wait for a check whether it lives after all.
 constexpr duration silence_validity = std::chrono::seconds(1);
@@ -202,6 +204,7 @@
         update.incarnation - member.known.incarnation < restart_gap)
     {
         returned_.push_back(update.member);
+        last_return_ = now;
     }
     member.known = update;
     member.gossip_left = gossip_copies;
@@ -470,6 +473,10 @@
 
 bool membership::ask_lost(time_point now)
 {
+    if (now - last_return_ < merge_time)
+    {
+        return true;
+    }
     if (lost_count_ == 0 || now - last_death_ < silence_validity)
     {
         return false;
@@ -478,9 +485,14 @@
     return true;
 }
 
-bool membership::silent_since(time_point time) const
+bool membership::lost_asked(time_point since, time_point now) const
 {
-    return lost_count_ == 0 || silence_confirmed_ >= time;
+    if (now - last_return_ < merge_time)
+    {
+        return false;
+    }
+    return lost_count_ == 0 || silence_confirmed_ >= since ||
+           last_return_ >= since;
 }
 
 void membership::check_silence(time_point now, router_effects& effects)
--- a/src/coordination/membership.hpp
+++ b/src/coordination/membership.hpp
@@ -65,8 +65,9 @@
     /// been asked.
     bool ask_lost(time_point now);
 
-    /// Whether the lost members were asked after this time and did not answer.
-    bool silent_since(time_point time) const;
+    /// Whether the wait that began then is over: the lost members were asked
+    /// and did not answer, or the returned ones are all known.
+    bool lost_asked(time_point since, time_point now) const;
 
     /// Whether this instance was paused and declared dead meanwhile, so that
     /// others own its flows. Reading it clears it.
@@ -171,6 +172,7 @@
     std::optional<time_point> silence_check_; ///< probes are under way
     bool silence_wanted_{false};
     time_point last_death_{};
+    time_point last_return_{};
     std::size_t lost_count_{0};
     std::uint64_t refuted_{0}; ///< incarnation that was doubted in a pause
     bool paused_{false};       ///< since the last refresh began
--- a/src/coordination/ownership.cpp
+++ b/src/coordination/ownership.cpp
@@ -60,9 +60,9 @@
     }
 }
 
-void ownership::extend_former_views(time_point now)
+void ownership::extend_former_views(duration flow_age, time_point now)
 {
-    if (!former_.empty())
+    if (!former_.empty() && flow_age > now - since_)
     {
         former_.front().last_used = now;
     }
--- a/src/coordination/ownership.hpp
+++ b/src/coordination/ownership.hpp
@@ -31,18 +31,9 @@
     /// a partition, where each thought the other side dead.
     void add_returned(const std::vector<instance_id>& members, time_point now);
 
-    /// The owner on the far side of a partition that has healed since this
-    /// time; value 0 if none has.
-    instance_id returned_owner(std::uint64_t flow_hash, time_point since) const
-    {
-        return returned_last_ < since
-                   ? instance_id{}
-                   : first(returned_, flow_hash, instance_id{});
-    }
-
-    /// Flows are still being transferred after a change: keeps the newest
-    /// former view as if it had ended now.
-    void extend_former_views(time_point now);
+    /// A flow of this age was transferred: if it is older than the view, the
+    /// newest former view is kept as if it had ended now.
+    void extend_former_views(duration flow_age, time_point now);
 
     /// Owner and the two instances after it.
     ranking rank(std::uint64_t flow_hash) const;
--- a/src/coordination/packet_path.cpp
+++ b/src/coordination/packet_path.cpp
@@ -242,7 +242,10 @@
     const bool returns = event.header.hops > 0 &&
                          owner == event.header.passed_by &&
                          !state_.settings.faults.no_return_guard;
-    if (owner.value != 0 && !own && !returns)
+    // An instance that stops opens no flow, not even one that its owner has
+    // asked it for.
+    const bool keep = returns && !state_.members.leaving();
+    if (owner.value != 0 && !own && !keep)
     {
         if (event.header.hops >= max_hops)
         {
@@ -279,10 +282,6 @@
     {
         return lifecycle_.adopt(packet, *pin, placement_reason::pin);
     }
-    if (auto passed = pass_to_former_owner(packet))
-    {
-        return *passed;
-    }
     const bool is_udp = packet.key.protocol == ip_protocol::udp;
     // A new flow of an idempotent UDP service is not worth the wait.
     const bool may_wait = !is_udp || !service.idempotent;
@@ -292,6 +291,10 @@
     {
         return held{};
     }
+    if (auto passed = pass_to_former_owner(packet))
+    {
+        return *passed;
+    }
     return is_udp ? decide_unknown_udp(packet) : adopt_unknown(packet);
 }
 
@@ -302,10 +305,7 @@
     {
         const bool unknown =
             state_.flows[waiting.flow.slot].state == flow_state::awaiting_owner;
-        const bool returned =
-            state_.owners.returned_owner(waiting.flow.hash, waiting.since)
-                .value != 0;
-        if (unknown && (returned || state_.members.silent_since(waiting.since)))
+        if (unknown && state_.members.lost_asked(waiting.since, now))
         {
             over.push_back(waiting);
         }
@@ -329,12 +329,10 @@
     state_.held.erase(waiting);
     lifecycle_.erase(waiting.flow.slot);
 
-    const instance_id owner =
-        state_.owners.returned_owner(waiting.flow.hash, waiting.since);
     packet_decision decision;
-    if (owner.value != 0)
+    if (const auto passed = pass_to_former_owner(packet))
     {
-        decision = pass_to(owner, event);
+        decision = *passed;
     }
     else if (key.protocol == ip_protocol::udp)
     {
--- a/src/coordination/peer_exchange.cpp
+++ b/src/coordination/peer_exchange.cpp
@@ -81,8 +81,9 @@
         for (const auto& transfer : batch->flows)
         {
             taken = lifecycle_.take(transfer, now) && taken;
+            state_.owners.extend_former_views(
+                std::chrono::milliseconds(transfer.age_ms), now);
         }
-        state_.owners.extend_former_views(now);
         if (taken)
         {
             send(from, protocol::handover_ack{batch->sequence}, effects);
--- a/tests/flows/flow_world.hpp
+++ b/tests/flows/flow_world.hpp
@@ -154,6 +154,7 @@
     void open_tcp(caller_flow& flow);
     void retry_syn(caller_flow& flow);
     void continue_flow(caller_flow& flow);
+    bool was_cut_off(const caller_flow& flow) const;
     void end(caller_flow& flow, bool completed, const std::string& why);
 
     world_options options_;
