Measure broken flows and control bytes through changes

The model drives flow_router for chosen and, with pins switched off, for owner_without_backup, and small models of the two table designs, with the same demand and the same changes of upstreams, instances, weights and a data centre that is cut off and back.

--- a/src/boragestand-model/measurements.cpp
+++ b/src/boragestand-model/measurements.cpp
@@ -9,6 +9,7 @@
         {"imbalance", measure_imbalance},
         {"peak", measure_peak},
         {"blocking", measure_blocking},
+        {"changes", measure_changes},
     };
     return all;
 }
