Rename held_flow of the hold queue to queued_flow

flow_router has a struct of the same name in the same namespace. The two definitions broke the one-definition rule: vector code of the one size ran over elements of the other, and the model crashed in hold_queue::heads() as soon as the queue held flows. A build with the address sanitizer showed it (element of 72 bytes read as 136).

--- a/src/coordination/hold_queue.cpp
+++ b/src/coordination/hold_queue.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-bool is_long(const held_flow& flow)
+bool is_long(const queued_flow& flow)
 {
     return flow.arrival.work == protocol::request_class::long_work;
 }
@@ -18,7 +18,7 @@
 
 hold_queue::hold_queue(duration aging_limit) : aging_limit_(aging_limit) {}
 
-bool hold_queue::push(const held_flow& flow, std::size_t capacity)
+bool hold_queue::push(const queued_flow& flow, std::size_t capacity)
 {
     const std::uint64_t ticket = flow.arrival.ticket.value;
     if (places_.size() >= capacity || places_.contains(ticket))
@@ -33,7 +33,7 @@
     return true;
 }
 
-std::optional<held_flow> hold_queue::cancel(hold_ticket ticket)
+std::optional<queued_flow> hold_queue::cancel(hold_ticket ticket)
 {
     const auto found = places_.find(ticket.value);
     if (found == places_.end())
@@ -41,7 +41,7 @@
         return std::nullopt;
     }
     const place where = found->second;
-    const held_flow flow = *where.position;
+    const queued_flow flow = *where.position;
     deadlines_.erase({flow.deadline, ticket.value});
     const auto waiting = lanes_.find(where.key);
     waiting->second.erase(where.position);
@@ -53,15 +53,15 @@
     return flow;
 }
 
-std::vector<held_flow> hold_queue::heads(time_point now) const
+std::vector<queued_flow> hold_queue::heads(time_point now) const
 {
-    std::vector<held_flow> found;
+    std::vector<queued_flow> found;
     for (const auto& [key, waiting] : lanes_)
     {
         found.push_back(waiting.front());
     }
     std::sort(found.begin(), found.end(),
-              [this, now](const held_flow& left, const held_flow& right)
+              [this, now](const queued_flow& left, const queued_flow& right)
               { return precedes(left, right, now); });
     return found;
 }
@@ -83,7 +83,7 @@
                        });
 }
 
-std::optional<held_flow> hold_queue::take_expired(time_point now)
+std::optional<queued_flow> hold_queue::take_expired(time_point now)
 {
     if (deadlines_.empty() || deadlines_.begin()->first > now)
     {
@@ -105,10 +105,10 @@
     return longest;
 }
 
-bool hold_queue::precedes(const held_flow& left, const held_flow& right,
+bool hold_queue::precedes(const queued_flow& left, const queued_flow& right,
                           time_point now) const
 {
-    const auto rank = [this, now](const held_flow& flow)
+    const auto rank = [this, now](const queued_flow& flow)
     {
         const bool aged = flow.since + aging_limit_ <= now;
         return std::tuple(!aged, !aged && is_long(flow), flow.since,
--- a/src/coordination/hold_queue.hpp
+++ b/src/coordination/hold_queue.hpp
@@ -14,14 +14,14 @@
 {
 
 /// A new flow that waits for a slot.
-struct held_flow
+struct queued_flow
 {
     flow_arrival arrival;
     std::uint16_t share{0}; ///< share rule that limits it, 0 for none
     time_point since;
     time_point deadline;
 
-    auto operator<=>(const held_flow&) const = default;
+    auto operator<=>(const queued_flow&) const = default;
 };
 
 /// Held flows of one service. Short work goes first, except that work which has
@@ -34,20 +34,20 @@
     explicit hold_queue(duration aging_limit);
 
     /// Adds a flow unless the queue holds as many as capacity.
-    bool push(const held_flow& flow, std::size_t capacity);
+    bool push(const queued_flow& flow, std::size_t capacity);
 
     /// Takes a flow out; empty if it is not held.
-    std::optional<held_flow> cancel(hold_ticket ticket);
+    std::optional<queued_flow> cancel(hold_ticket ticket);
 
     /// The first flow of each lane in the order in which they are to be tried.
-    std::vector<held_flow> heads(time_point now) const;
+    std::vector<queued_flow> heads(time_point now) const;
 
     /// Whether a flow that would go before or with a new one of this kind
     /// waits, so that the new one has to wait behind it.
     bool must_wait(bool is_long, std::uint16_t share, time_point now) const;
 
     /// Takes the flow with the earliest deadline if that has passed.
-    std::optional<held_flow> take_expired(time_point now);
+    std::optional<queued_flow> take_expired(time_point now);
 
     /// Longest wait so far of a held flow that no share rule limits.
     duration longest_wait(time_point now) const;
@@ -64,7 +64,7 @@
         auto operator<=>(const lane_key&) const = default;
     };
 
-    using lane = std::list<held_flow>;
+    using lane = std::list<queued_flow>;
 
     struct place
     {
@@ -72,7 +72,7 @@
         lane::iterator position;
     };
 
-    bool precedes(const held_flow& left, const held_flow& right,
+    bool precedes(const queued_flow& left, const queued_flow& right,
                   time_point now) const;
 
     duration aging_limit_;
--- a/src/coordination/service_traffic.hpp
+++ b/src/coordination/service_traffic.hpp
@@ -112,7 +112,7 @@
     void expire(std::vector<hold_outcome>& outcomes, time_point now);
     bool release_one(std::vector<hold_outcome>& outcomes, time_point now);
     void press(const char* reason, time_point now);
-    admission decide_expired(const held_flow& flow, time_point now);
+    admission decide_expired(const queued_flow& flow, time_point now);
 
     service_id id_;
     traffic_settings settings_;
--- a/src/coordination/service_traffic_hold.cpp
+++ b/src/coordination/service_traffic_hold.cpp
@@ -43,7 +43,8 @@
     }
 }
 
-admission service_traffic::decide_expired(const held_flow& flow, time_point now)
+admission service_traffic::decide_expired(const queued_flow& flow,
+                                          time_point now)
 {
     const state::rule* share = rules_.share_rule(flow.share);
     const std::string covered = share == nullptr ? std::string() : share->name;
@@ -58,7 +59,7 @@
 bool service_traffic::release_one(std::vector<hold_outcome>& outcomes,
                                   time_point now)
 {
-    for (const held_flow& flow : queue_.heads(now))
+    for (const queued_flow& flow : queue_.heads(now))
     {
         const auto chosen = place(flow.arrival, flow.share, now);
         if (!chosen)
