--- a/src/boragestand-model/load_model.cpp
+++ b/src/boragestand-model/load_model.cpp
@@ -15,6 +15,10 @@
 constexpr duration first_syn_timeout = 1s;
 constexpr unsigned most_syns = 4;
 
+// A restarted upstream serves this many times slower, and warms up.
+constexpr double cold_factor = 5.0;
+constexpr duration cold_time = 10s;
+
 // Acknowledgements of a long answer reach the owner this often.
 constexpr duration progress_interval = 100ms;
 
@@ -56,6 +60,10 @@
         events_.after(sent, [this, flow] { send_syn(flow); });
     }
     events_.every(1s, [this] { poll_endpoints(); });
+    if (options_.cold_start)
+    {
+        events_.after(*options_.cold_start, [this] { restart_cold(); });
+    }
     events_.every(interval, observe);
     events_.run_until(time_point(length));
 }
@@ -243,6 +251,17 @@
     }
 }
 
+void load_model::restart_cold()
+{
+    upstreams_[0]->chill(cold_factor, cold_time);
+    protocol::upstream_record record = record_of(0);
+    ++record.incarnation;
+    record.warmup_ms = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(cold_time)
+            .count());
+    design_->note(record);
+}
+
 unsigned load_model::index_of(upstream_id upstream) const
 {
     const auto found = std::find(ids_.begin(), ids_.end(), upstream);
--- a/src/boragestand-model/load_model.hpp
+++ b/src/boragestand-model/load_model.hpp
@@ -21,6 +21,8 @@
     bool class_declared{true};
     /// Values that the load endpoint of upstream 0 reports instead of its own.
     std::optional<std::pair<std::uint32_t, std::uint16_t>> false_load;
+    /// When upstream 0 restarts, slower at first; it loses no requests.
+    std::optional<duration> cold_start;
 
     auto operator<=>(const load_options&) const = default;
 };
@@ -87,6 +89,7 @@
     void give_up_at_deadline(std::uint64_t flow);
     void finish(std::uint64_t flow, coordination::flow_end end);
     void poll_endpoints();
+    void restart_cold();
     unsigned index_of(upstream_id upstream) const;
     template <typename What>
     void tell(std::uint64_t flow, What what);
--- a/src/boragestand-model/measurements.hpp
+++ b/src/boragestand-model/measurements.hpp
@@ -32,6 +32,9 @@
 /// Waits of short requests with long ones among them.
 result_lines measure_blocking(std::uint64_t seed);
 
+/// Times of answers while one upstream is cold after a restart.
+result_lines measure_cold_start(std::uint64_t seed);
+
 /// Broken flows and control bytes while upstreams, instances, weights and data
 /// centres change.
 result_lines measure_changes(std::uint64_t seed);
--- a/src/boragestand-model/model_upstream.cpp
+++ b/src/boragestand-model/model_upstream.cpp
@@ -6,16 +6,18 @@
 namespace boragestand::model
 {
 
-model_upstream::model_upstream(event_queue& events, std::uint32_t slots,
-                               double cold_factor, duration cold_time)
-    : events_(events)
-    , slots_(slots)
-    , cold_factor_(cold_factor)
-    , cold_time_(cold_time)
-    , created_(events.now())
+model_upstream::model_upstream(event_queue& events, std::uint32_t slots)
+    : events_(events), slots_(slots)
 {
 }
 
+void model_upstream::chill(double factor, duration time)
+{
+    cold_factor_ = factor;
+    cold_time_ = time;
+    cold_since_ = events_.now();
+}
+
 void model_upstream::on_progress(notice started, notice answered)
 {
     started_ = std::move(started);
@@ -55,7 +57,7 @@
 
 duration model_upstream::slowed(duration service_time) const
 {
-    const duration age = events_.now() - created_;
+    const duration age = events_.now() - cold_since_;
     if (age >= cold_time_)
     {
         return service_time;
--- a/src/boragestand-model/model_upstream.hpp
+++ b/src/boragestand-model/model_upstream.hpp
@@ -11,16 +11,17 @@
 
 /// A served system: runs as many requests at once as it has slots, in the order
 /// of their arrival. It skips requests whose deadline has passed before their
-/// turn. Right after its start it is slower.
+/// turn. While it is cold it is slower.
 class model_upstream
 {
 public:
     using notice = std::function<void(std::uint64_t request)>;
 
-    /// cold_factor multiplies service times at the start and falls to 1 within
-    /// cold_time.
-    model_upstream(event_queue& events, std::uint32_t slots,
-                   double cold_factor = 1.0, duration cold_time = duration(0));
+    model_upstream(event_queue& events, std::uint32_t slots);
+
+    /// Makes the upstream cold: service times are this factor longer, falling
+    /// to their normal value within the time.
+    void chill(double factor, duration time);
 
     /// Sets what is called when a request starts and when it is answered.
     void on_progress(notice started, notice answered);
@@ -48,9 +49,9 @@
 
     event_queue& events_;
     std::uint32_t slots_;
-    double cold_factor_;
-    duration cold_time_;
-    time_point created_;
+    double cold_factor_{1.0};
+    duration cold_time_{0};
+    time_point cold_since_;
     std::uint32_t running_{0};
     duration busy_{0};
     std::deque<waiting_request> waiting_;
--- a/src/boragestand-model/owner_placement.cpp
+++ b/src/boragestand-model/owner_placement.cpp
@@ -54,6 +54,14 @@
     }
 }
 
+void owner_placement::note(const protocol::upstream_record& record)
+{
+    for (auto& policy : owners_)
+    {
+        policy.apply(record, events_.now());
+    }
+}
+
 unsigned owner_placement::owner_of(std::uint64_t flow_hash)
 {
     return static_cast<unsigned>(mix_hashes(flow_hash, 0x6f776e6572ULL) %
--- a/src/boragestand-model/owner_placement.hpp
+++ b/src/boragestand-model/owner_placement.hpp
@@ -18,6 +18,7 @@
     void arrive(const coordination::flow_arrival& arrival) override;
     void note(const coordination::flow_evidence& evidence) override;
     void note(const coordination::endpoint_report& report) override;
+    void note(const protocol::upstream_record& record) override;
 
 private:
     static unsigned owner_of(std::uint64_t flow_hash);
--- a/src/boragestand-model/placement_design.hpp
+++ b/src/boragestand-model/placement_design.hpp
@@ -32,6 +32,9 @@
 
     /// A load endpoint answered all instances.
     virtual void note(const coordination::endpoint_report& report) = 0;
+
+    /// An upstream announced itself to all instances.
+    virtual void note(const protocol::upstream_record& record) = 0;
 };
 
 /// The design of this kind over upstream_count upstreams.
--- a/src/boragestand-model/table_placement.cpp
+++ b/src/boragestand-model/table_placement.cpp
@@ -26,4 +26,7 @@
 
 void table_placement::note(const coordination::endpoint_report& /*report*/) {}
 
+// A table gives a restarted upstream its full part at once.
+void table_placement::note(const protocol::upstream_record& /*record*/) {}
+
 } // namespace boragestand::model
