Compare an entry instance with the member list only when it is complete

Cause: a misspelt key under addresses also gave the fault that the member list differs, which says nothing new.

--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -122,6 +122,17 @@
     }
 }
 
+/// Whether this instance could be read; else a comparison with the list would
+/// only repeat the faults that were found.
+bool is_complete(const entry_settings& settings)
+{
+    return settings.instance.id != 0 && !settings.instance.name.empty() &&
+           !settings.instance.data_centre.empty() &&
+           !settings.addresses.fabric.empty() &&
+           !settings.addresses.peers.empty() &&
+           !settings.addresses.http.empty();
+}
+
 void check_callers_via(mapping_reader& root, const entry_settings& settings)
 {
     const bool taken =
@@ -220,7 +231,7 @@
     }
     mapping_reader root(*node, "", faults);
     entry_settings settings = read_all(root, faults);
-    if (settings.instance.id != 0 && root.has("members"))
+    if (is_complete(settings) && root.has("members"))
     {
         check_self_listed(root, settings);
     }
