Keep the best answer at the end of a command, and isolate test files

Cause: commands.failures_have_the_status_of_their_kind failed once under ctest -j 3. Tests that ran at the same time shared files in the temporary folder. The code had a fault of the same kind: an attempt that the end of the command cut short gave timeout in place of the answer before it, and a last look at the status that was cut short lost where a note is in effect. Change: a cut short attempt does not replace an earlier answer; earlier looks count until a newer one names the instance; every command that may be sent again, not only submit, prints the request identity. Test files carry the process id, and tests of the end of a command wait 1 s instead of 0.2 s so that a busy machine gets an answer in time.

--- a/src/boragestandctl/change_commands.cpp
+++ b/src/boragestandctl/change_commands.cpp
@@ -21,13 +21,9 @@
 {
     const auto response =
         group.ask_leader(state::to_http(action, call.identity));
-    if (!response)
-    {
-        return report_of(response.error());
-    }
-    if (!is_success(*response))
+    if (!response || !is_success(*response))
     {
-        return report_of(*response, call.command);
+        return report_of_command(response, call.command, call.identity);
     }
     command_report report;
     report.json = body_of(*response);
--- a/src/boragestandctl/control_group.cpp
+++ b/src/boragestandctl/control_group.cpp
@@ -36,6 +36,12 @@
     }
 }
 
+/// Whether an instance did not answer in time.
+bool is_timeout(const result<http_response>& response)
+{
+    return !response && response.error().kind == error_kind::timeout;
+}
+
 } // namespace
 
 control_group::control_group(transport::main_loop& loop,
@@ -191,13 +197,25 @@
                        "no control instance is given");
     }
     endpoint target = control_.front();
+    std::optional<result<http_response>> best;
     for (std::size_t attempt = 1;; ++attempt)
     {
+        const bool cut_short = time_for_attempt() < limits_.attempt;
         const result<http_response> response = ask(target, request);
-        if (!is_worth_a_resend(response) || is_over())
+        if (!is_worth_a_resend(response))
         {
             return response;
         }
+        // An attempt that the end of the command cut short tells less than the
+        // answer before it.
+        if (!best || !cut_short || !is_timeout(response))
+        {
+            best = response;
+        }
+        if (is_over())
+        {
+            return *best;
+        }
         const auto leader = leader_named_by(response);
         // An instance may name itself, or one that has just failed.
         target = leader && *leader != target ? *leader : next_after(target);
--- a/src/boragestandctl/entry_progress.cpp
+++ b/src/boragestandctl/entry_progress.cpp
@@ -28,6 +28,17 @@
     }
 }
 
+std::vector<state::status_entry>
+values_of(const std::map<instance_id, state::status_entry>& entries)
+{
+    std::vector<state::status_entry> values;
+    for (const auto& [id, entry] : entries)
+    {
+        values.push_back(entry);
+    }
+    return values;
+}
+
 void learn_members(const state::control_status& status, control_group& group)
 {
     for (const state::status_member& member : status.members)
@@ -66,10 +77,7 @@
         learn_members(*status, group);
         view.statuses.push_back(*std::move(status));
     }
-    for (const auto& [id, entry] : entries)
-    {
-        view.entries.push_back(entry);
-    }
+    view.entries = values_of(entries);
     return view;
 }
 
@@ -87,11 +95,17 @@
 
 reach wait_until_in_effect(std::uint64_t revision, control_group& group)
 {
+    // The last look may be cut short, so earlier ones count until a newer one
+    // names the same instance.
+    std::map<instance_id, state::status_entry> known;
     while (true)
     {
-        const group_view view = view_of(group);
-        reach split = reach_of(revision, view.entries);
-        const bool complete = !view.entries.empty() && split.missing.empty();
+        for (const state::status_entry& entry : view_of(group).entries)
+        {
+            known.insert_or_assign(entry.id, entry);
+        }
+        reach split = reach_of(revision, values_of(known));
+        const bool complete = !known.empty() && split.missing.empty();
         if (complete || group.is_over())
         {
             return split;
--- a/src/boragestandctl/invocation.cpp
+++ b/src/boragestandctl/invocation.cpp
@@ -88,6 +88,27 @@
     return report;
 }
 
+command_report
+report_of_command(const result<transport::http_response>& response,
+                  const std::string& source,
+                  const state::request_identity& identity)
+{
+    const error fault =
+        response ? state::error_of(*response) : response.error();
+    command_report report =
+        response ? report_of(*response, source) : report_of(fault);
+    if (!answer_for(fault.kind).retryable)
+    {
+        return report;
+    }
+    report.text += "to resend it without running it twice: --client-id " +
+                   identity.client + " --client-sequence " +
+                   std::to_string(identity.sequence) + "\n";
+    report.json["client_id"] = identity.client;
+    report.json["client_sequence"] = identity.sequence;
+    return report;
+}
+
 command_report report_of(const std::vector<document::fault>& faults,
                          const std::string& source)
 {
--- a/src/boragestandctl/invocation.hpp
+++ b/src/boragestandctl/invocation.hpp
@@ -38,6 +38,13 @@
 command_report report_of(const transport::http_response& response,
                          const std::string& source);
 
+/// The report of a command that was not accepted. If it may succeed later, or
+/// may have run, it says how to resend it without running it twice.
+command_report
+report_of_command(const result<transport::http_response>& response,
+                  const std::string& source,
+                  const state::request_identity& identity);
+
 /// The report of faults in a release note.
 command_report report_of(const std::vector<document::fault>& faults,
                          const std::string& source);
--- a/src/boragestandctl/submit_command.cpp
+++ b/src/boragestandctl/submit_command.cpp
@@ -53,17 +53,6 @@
     }
 }
 
-/// What to do when the outcome of a command may be unknown.
-void add_resend_hint(const state::request_identity& identity,
-                     command_report& report)
-{
-    report.text += "to resend it without running it twice: --client-id " +
-                   identity.client + " --client-sequence " +
-                   std::to_string(identity.sequence) + "\n";
-    report.json["client_id"] = identity.client;
-    report.json["client_sequence"] = identity.sequence;
-}
-
 } // namespace
 
 command_report run_submit(const invocation& call, control_group& group)
@@ -76,15 +65,9 @@
     }
     const auto response = group.ask_leader(
         state::to_http(state::submit_note{*text}, call.identity));
-    if (!response)
-    {
-        command_report report = report_of(response.error());
-        add_resend_hint(call.identity, report);
-        return report;
-    }
-    if (!is_success(*response))
+    if (!response || !is_success(*response))
     {
-        return report_of(*response, file);
+        return report_of_command(response, file, call.identity);
     }
     command_report report;
     report.json = body_of(*response);
--- a/tests/ctl/commands_test.cpp
+++ b/tests/ctl/commands_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
 #include <cstdio>
 #include <fstream>
 #include <sstream>
@@ -56,7 +58,9 @@
     /// A file that is removed at the end.
     std::string file_with(const std::string& text)
     {
+        // Tests run as processes of their own at the same time.
         files_.push_back(testing::TempDir() + "boragestandctl_note_" +
+                         std::to_string(getpid()) + "_" +
                          std::to_string(files_.size()));
         std::ofstream(files_.back()) << text;
         return files_.back();
@@ -100,7 +104,7 @@
     leader.entries.push_back({instance_id{3}, "tx-bryan-1", 0, std::nullopt});
     leader.entries.push_back({instance_id{4}, "tx-bryan-2", 0, 12340});
     const command_report partial =
-        run({"submit", file, "--timeout", "0.3"}, {leader.address()});
+        run({"submit", file, "--timeout", "1"}, {leader.address()});
     EXPECT_EQ(partial.exit_status, 1);
     EXPECT_EQ(partial.text,
               "note 1 was accepted before as revision 1\n"
@@ -164,10 +168,10 @@
     EXPECT_EQ(run({"status"}, {alone.address()}).exit_status, 10);
     EXPECT_EQ(run({"status"}, {unused}).exit_status, 11);
     EXPECT_EQ(
-        run({"undrain", "desk", "d-01", "--timeout", "0.2"}, {alone.address()})
+        run({"undrain", "desk", "d-01", "--timeout", "1"}, {alone.address()})
             .exit_status,
         10);
-    const auto lost = run({"submit", other, "--timeout", "0.2", "--client-id",
+    const auto lost = run({"submit", other, "--timeout", "1", "--client-id",
                            "me", "--client-sequence", "7"},
                           {unused});
     EXPECT_EQ(lost.exit_status, 11);
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
 #include <cstdio>
 #include <fstream>
 #include <sstream>
@@ -19,7 +21,8 @@
 
 std::string temporary_file(const std::string& name)
 {
-    return testing::TempDir() + "boragestand_" + name;
+    return testing::TempDir() + "boragestand_" + std::to_string(getpid()) +
+           "_" + name;
 }
 
 struct run_result
