--- a/src/boragestand-control/group_founding.cpp
+++ b/src/boragestand-control/group_founding.cpp
@@ -54,10 +54,6 @@
 
 void group_founding::start()
 {
-    if (is_member())
-    {
-        return;
-    }
     polling_ = timers_.every(poll_interval, [this](time_point) { poll(); });
     poll();
 }
@@ -78,10 +74,9 @@
 
 void group_founding::poll()
 {
-    if (is_member())
+    joined_ = joined_ || is_member();
+    if (joined_)
     {
-        // This may run inside the timer's own callback.
-        peers_.post([this] { polling_.cancel(); });
         return;
     }
     found_if_complete();
--- a/src/boragestand-control/group_founding.hpp
+++ b/src/boragestand-control/group_founding.hpp
@@ -62,6 +62,8 @@
     transport::subscription polling_;
     /// Identities of other founders that have no history.
     std::map<std::uint32_t, replica_id> new_founders_;
+    /// Set for good: a member that is removed later does not ask again.
+    bool joined_{false};
     bool replacement_logged_{false};
 };
 
--- a/src/boragestand-control/peer_link.hpp
+++ b/src/boragestand-control/peer_link.hpp
@@ -3,7 +3,6 @@
 #include "coordination/coordination.hpp"
 #include "transport/transport.hpp"
 
-#include <functional>
 #include <map>
 #include <memory>
 
@@ -25,12 +24,6 @@
                  transport::http_request request, duration timeout,
                  transport::http2_client::response_callback callback);
 
-    /// Calls back on the next turn of the loop.
-    void post(std::function<void()> callback)
-    {
-        loop_.post(std::move(callback));
-    }
-
 private:
     struct peer
     {
