Stop boragestand-control when the first group cannot be stored

A failure to store the first group was only logged, and the replica went on with what it had in memory. It now ends the process like every other storage failure.

--- a/src/boragestand-control/group_founding.cpp
+++ b/src/boragestand-control/group_founding.cpp
@@ -138,16 +138,7 @@
         group.members.push_back({id, each.address, true, 0});
     }
     std::sort(group.members.begin(), group.members.end());
-    adopt(group);
-}
-
-void group_founding::adopt(const protocol::replica_group& group)
-{
-    const auto outcome = host_.found(group);
-    if (!outcome)
-    {
-        log_.failed(outcome.error());
-    }
+    host_.found(group);
 }
 
 void group_founding::join(const founding_status& status)
@@ -158,7 +149,7 @@
         // In a later group the leader sends what this instance needs.
         if (status.founding_group && host_.node().group().members.empty())
         {
-            adopt(status.group);
+            host_.found(status.group);
         }
         return;
     }
--- a/src/boragestand-control/group_founding.hpp
+++ b/src/boragestand-control/group_founding.hpp
@@ -46,7 +46,6 @@
     void take(std::uint32_t instance, const founding_status& status);
     void join(const founding_status& status);
     void found_if_complete();
-    void adopt(const protocol::replica_group& group);
     void request_replacement(const founding_status& status,
                              replica_id replaced);
     bool is_member() const;
--- a/src/boragestand-control/replica_host.cpp
+++ b/src/boragestand-control/replica_host.cpp
@@ -51,14 +51,25 @@
     return {};
 }
 
-result<void> replica_host::found(const protocol::replica_group& founders)
+void replica_host::found(const protocol::replica_group& founders)
 {
-    return disk_->save_founders(founders).and_then(
+    const auto outcome = disk_->save_founders(founders).and_then(
         [&]
         {
             log_.founded(founders);
             return start();
         });
+    if (!outcome)
+    {
+        stop_for(outcome.error());
+    }
+}
+
+void replica_host::stop_for(const error& cause)
+{
+    failed_ = true;
+    log_.failed(cause);
+    callbacks_.failed(cause);
 }
 
 result<void> replica_host::restore(const std::string& data)
@@ -154,9 +165,7 @@
         if (!outcome)
         {
             // What follows, such as messages, may rely on this effect.
-            failed_ = true;
-            log_.failed(outcome.error());
-            callbacks_.failed(outcome.error());
+            stop_for(outcome.error());
             return;
         }
     }
--- a/src/boragestand-control/replica_host.hpp
+++ b/src/boragestand-control/replica_host.hpp
@@ -38,8 +38,9 @@
     /// Restores the state machine from the disk and starts the replica.
     result<void> start();
 
-    /// Makes the first group durable and goes on as one of its members.
-    result<void> found(const protocol::replica_group& founders);
+    /// Makes the first group durable and goes on as one of its members. The
+    /// process stops if that fails.
+    void found(const protocol::replica_group& founders);
 
     /// Takes a message of another control instance.
     void receive(const protocol::agreement_envelope& envelope);
@@ -87,6 +88,7 @@
     result<void> run(const coordination::invariant_broken& effect);
     result<void> restore(const std::string& data);
     void finish_step();
+    void stop_for(const error& cause);
     void answer(std::uint64_t token, const result<std::uint64_t>& index);
 
     std::unique_ptr<replica_disk> disk_;
