Keep runs of the demo apart and bound its stop

Two runs of the demo on one machine shared endpoints and disturbed each other, and an entry instance that did not stop kept the demo waiting. All endpoints of a run are now in one network chosen by its process id, a program that ends early ends the run, and a program that does not stop within 10 s is killed and counted as a failure. Callers log each flow that did not complete.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,12 +13,14 @@
 scripts/build.sh >/dev/null
 bin=$PWD/build/bin
 work=$(mktemp -d)
+# All endpoints are in one network of the run, so that runs do not meet.
+net=127.$((10 + $$ % 240))
 declare -A pids=()
 failures=0
 
 data_centres=(tx-waco tx-temple tx-bryan tx-killeen)
 entry_data_centres=(tx-waco tx-waco tx-temple tx-temple tx-bryan tx-killeen)
-control=(127.2.0.1:7200 127.2.0.2:7200 127.2.0.3:7200)
+control=("$net.2.1:7200" "$net.2.2:7200" "$net.2.3:7200")
 member_desk=10.0.0.1:443
 haul_maps=10.0.0.2:443
 
@@ -34,9 +36,16 @@
     pids[$name]=$!
 }
 
-# Waits for a program and counts an exit status other than 0 as a failure.
+# Waits for a program, at most for a time in seconds, and counts an exit status
+# other than 0 as a failure.
 finish() {
-    local name=$1 status=0
+    local name=$1 status=0 end=$((SECONDS + ${2:-10}))
+    while kill -0 "${pids[$name]}" 2>/dev/null && [ $SECONDS -lt $end ]; do
+        sleep 0.05
+    done
+    if kill -KILL "${pids[$name]}" 2>/dev/null; then
+        say "$name did not stop"
+    fi
     wait "${pids[$name]}" || status=$?
     unset "pids[$name]"
     if [ "$status" -ne 0 ]; then
@@ -74,11 +83,24 @@
 trap clean_up EXIT
 trap 'exit 1' INT TERM
 
+# Ends the run if a program that should run has ended.
+check_running() {
+    local name
+    for name in "${!pids[@]}"; do
+        if ! kill -0 "${pids[$name]}" 2>/dev/null; then
+            say "$name has ended early"
+            tail -n 3 "$work/$name.err"
+            exit 1
+        fi
+    done
+}
+
 # wait_for SECONDS COMMAND... repeats the command until it succeeds.
 wait_for() {
     local end=$((SECONDS + $1))
     shift
     until "$@" >"$work/wait.out" 2>&1; do
+        check_running
         if [ $SECONDS -ge $end ]; then
             say "gave up waiting for: $*"
             cat "$work/wait.out"
@@ -90,7 +112,7 @@
 
 member_line() {
     echo "  - {id: $1, name: entry-$1, data_centre: ${entry_data_centres[$1 - 1]}," \
-        "fabric: 127.1.0.$1:6081, peers: 127.1.0.$1:7001, http: 127.1.0.$1:7080}"
+        "fabric: $net.1.$1:6081, peers: $net.1.$1:7001, http: $net.1.$1:7080}"
 }
 
 control_lines() {
@@ -105,9 +127,9 @@
     {
         echo "instance: {id: $1, name: entry-$1," \
             "data_centre: ${entry_data_centres[$1 - 1]}}"
-        echo "addresses: {fabric: 127.1.0.$1:6081, peers: 127.1.0.$1:7001," \
-            "http: 127.1.0.$1:7080}"
-        echo "callers_via: 127.9.0.1:6081"
+        echo "addresses: {fabric: $net.1.$1:6081, peers: $net.1.$1:7001," \
+            "http: $net.1.$1:7080}"
+        echo "callers_via: $net.9.1:6081"
         echo "members:"
         for i in 1 2 3 4 5 6; do member_line "$i"; done
         echo "control:"
@@ -128,7 +150,7 @@
         control_lines
         echo "entries:"
         for i in 1 2 3 4 5 6; do echo "  - {id: $i, name: entry-$i}"; done
-        echo "director: {address: 127.9.0.2:7300, path: /v1/wake}"
+        echo "director: {address: $net.9.2:7300, path: /v1/wake}"
         echo "log: {level: info, file: \"\"}"
     } >"$work/control-$1.yaml"
 }
@@ -160,7 +182,7 @@
 # spray_to NUMBERS... sets the entry instances that the fabric sends to.
 spray_to() {
     local i
-    for i in "$@"; do echo "127.1.0.$i:6081"; done >"$work/entries.new"
+    for i in "$@"; do echo "$net.1.$i:6081"; done >"$work/entries.new"
     mv "$work/entries.new" "$work/entries"
     if [ -n "${pids[fabric]:-}" ]; then
         kill -HUP "${pids[fabric]}"
@@ -175,18 +197,20 @@
     local network=3 entries=()
     shift 6
     [ "$service" = member-desk ] || network=4
-    for i in "$@"; do entries+=(--entry "127.1.0.$i:7080"); done
+    for i in "$@"; do entries+=(--entry "$net.1.$i:7080"); done
     start "$name" standin-upstream --service "$service" \
         --service-address "$address" --name-prefix "$prefix" --first "$first" \
-        --count "$count" --address "127.$network.0.$first:6081" \
-        --run-log "$work/$name.runs" "${entries[@]}"
+        --count "$count" --address "$net.$network.$first:6081" \
+        --returns "$net.9.1:6081" --run-log "$work/$name.runs" \
+        "${entries[@]}"
 }
 
 start_caller() {
     local name=$1 number=$2
     shift 2
-    start "$name" standin-caller --local "127.9.1.$number:6081" \
-        --inner-address "10.9.$number.1" --seed "$((seed * 10 + number))" "$@"
+    start "$name" standin-caller --local "$net.10.$number:6081" \
+        --fabric "$net.9.1:6080" --inner-address "10.9.$number.1" \
+        --seed "$((seed * 10 + number))" "$@"
 }
 
 # sum KEY FILES... adds up the values of a key in the result lines.
@@ -203,14 +227,15 @@
 spray_to 1 2 3 4 5 6
 
 say "start director, 3 control instances, 6 entry instances, fabric"
-start director standin-director --listen 127.9.0.2:7300
+start director standin-director --listen "$net.9.2:7300"
 for i in 1 2 3; do
     start "control-$i" boragestand-control --settings "$work/control-$i.yaml"
 done
 for i in 1 2 3 4 5 6; do
     start "entry-$i" boragestand-entry --settings "$work/entry-$i.yaml"
 done
-start fabric standin-fabric --entries "$work/entries" --seed "$seed"
+start fabric standin-fabric --entries "$work/entries" --seed "$seed" \
+    --callers "$net.9.1:6080" --returns "$net.9.1:6081"
 wait_for 20 submit "$work/note-1.yaml"
 say "note 1 is in effect: member-desk and haul-maps exist"
 
@@ -268,8 +293,8 @@
 spray_to 1 3 4 5 6
 say "entry instance 3 is replaced"
 
-finish desk-caller
-finish maps-caller
+finish desk-caller 60
+finish maps-caller 60
 say "all callers are done; stop everything"
 finish entry-2
 stop "${upstreams[@]}"
@@ -287,7 +312,7 @@
     $(sum foreign_requests "${hosts[@]}") + $(sum foreign_packets "${hosts[@]}")))
 duplicate_runs=$(cut -d' ' -f1 "$work"/*.runs | sort | uniq -d | wc -l)
 
-cat "${callers[@]}"
+cat "${callers[@]}" "$work"/*-caller.err
 echo "upstreams late_flows=$(sum late_flows "${hosts[@]}")" \
     "unknown_flow=$(sum unknown_flow "${hosts[@]}")" \
     "cut_flows=$(sum cut_flows "${hosts[@]}")" \
--- a/tests/standins/caller/caller.cpp
+++ b/tests/standins/caller/caller.cpp
@@ -1,6 +1,7 @@
 #include "caller.hpp"
 
 #include <algorithm>
+#include <iostream>
 #include <utility>
 
 namespace boragestand::standins
@@ -210,6 +211,10 @@
                                           : counters_.short_latencies;
         latencies.push_back(now - current.opened);
     }
+    else
+    {
+        log_end(current, result, now);
+    }
     if (!current.stream)
     {
         return;
@@ -222,6 +227,29 @@
     current.stream->abort();
 }
 
+void caller::log_end(const flow& current, flow_result result,
+                     time_point now) const
+{
+    constexpr std::array<std::string_view, 6> names{
+        "completed", "broken", "wrong_service", "refused", "shed", "cancelled"};
+    const auto since_start =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - started_);
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - current.opened);
+    log_line line("flow_ended");
+    line.with("result", names[static_cast<std::size_t>(result)])
+        .with("source", transport::to_string(current.source))
+        .with("at_ms", since_start.count())
+        .with("age_ms", age.count())
+        .with("long", current.is_long);
+    if (current.stream)
+    {
+        line.with("tcp_state",
+                  static_cast<int>(current.stream->current_state()));
+    }
+    std::cerr << line.text() << std::endl;
+}
+
 // Sends what the flow has to say and notes when it wants attention again.
 void caller::advance(flow& current, time_point now)
 {
--- a/tests/standins/caller/caller.hpp
+++ b/tests/standins/caller/caller.hpp
@@ -110,6 +110,7 @@
     void act(flow& current, time_point now);
     void start_request(flow& current, time_point now);
     void end(flow& current, flow_result result, time_point now);
+    void log_end(const flow& current, flow_result result, time_point now) const;
     void check_stream(flow& current, time_point now);
     void check_due(time_point now);
     void send(const flow& current,
