--- a/src/coordination/flow_lifecycle.cpp
+++ b/src/coordination/flow_lifecycle.cpp
@@ -357,8 +357,9 @@
         state_.kept_pins.keep(
             owner, {flow.hash, record.service, upstream.upstream}, now);
     }
+    // Its pins stay until the record is removed, since the new owner needs a
+    // while for its own.
     note_end(record, flow_end::moved, now);
-    state_.pins.remove(record);
     record.state = flow_state::moved;
     record.exception = false;
     record.last_packet_ms = ms_of(now);
