--- a/src/coordination/packet_path.cpp
+++ b/src/coordination/packet_path.cpp
@@ -242,9 +242,7 @@
     const bool returns = event.header.hops > 0 &&
                          owner == event.header.passed_by &&
                          !state_.settings.faults.no_return_guard;
-    // An instance that stops opens no flow, not even one that its owner has
-    // asked it for.
-    const bool keep = returns && !state_.members.leaving();
+    const bool keep = returns && !must_go_back(packet);
     if (owner.value != 0 && !own && !keep)
     {
         if (event.header.hops >= max_hops)
@@ -260,6 +258,21 @@
     return decide_as_owner(packet);
 }
 
+bool packet_path::must_go_back(const classified_packet& packet) const
+{
+    if (packet.event.header.hops >= max_hops)
+    {
+        return false;
+    }
+    // An instance that stops opens no flow, not even one that its owner has
+    // asked it for. A datagram does not tell whether its flow is new, and only
+    // the owner may open it.
+    const bool may_open = packet.key.protocol == ip_protocol::udp &&
+                          !state_.kept_pins.find(packet.hash,
+                                                 packet.key.service);
+    return may_open || state_.members.leaving();
+}
+
 packet_decision packet_path::decide_as_owner(const classified_packet& packet)
 {
     const protocol::inner_packet& inner = packet.event.packet;
@@ -284,7 +297,9 @@
     }
     const bool is_udp = packet.key.protocol == ip_protocol::udp;
     // A new flow of an idempotent UDP service is not worth the wait.
-    const bool may_wait = !is_udp || !service.idempotent;
+    const bool may_wait =
+        (!is_udp || !service.idempotent) &&
+        state_.owners.owner(packet.hash) == state_.settings.self;
     if (may_wait && packet.event.header.hops < max_hops &&
         state_.members.ask_lost(packet.event.now) &&
         lifecycle_.await_owner(packet))
--- a/src/coordination/packet_path.hpp
+++ b/src/coordination/packet_path.hpp
@@ -34,6 +34,7 @@
                           state::flow_record& record);
 
     packet_decision decide_unknown(const classified_packet& packet);
+    bool must_go_back(const classified_packet& packet) const;
     packet_decision decide_as_owner(const classified_packet& packet);
     packet_decision decide_lookup(const classified_packet& packet);
     void finish_wait(const held_flow& waiting, time_point now);
--- a/tests/flows/flow_scenarios_test.cpp
+++ b/tests/flows/flow_scenarios_test.cpp
@@ -284,6 +284,7 @@
         world.run(std::chrono::milliseconds(500 + 5 * step));
     }
     const world_result result = world.finish();
+    RC_LOG() << first_details(result);
     RC_ASSERT(result.wrong_service == 0U);
     RC_ASSERT(result.two_upstreams == 0U);
     RC_ASSERT(result.ran_twice == 0U);
