Send packets of moved flows to the owner that has them

A former owner went on using its record of a flow that had been placed again after a partition, and a transfer that arrived while a packet of its flow was held was confirmed but not recorded.

--- a/src/coordination/flow_lifecycle.cpp
+++ b/src/coordination/flow_lifecycle.cpp
@@ -304,15 +304,21 @@
         return false;
     }
     flow_slot slot = state_.flows.find(transfer.key, hash);
+    std::optional<held_flow> waiting;
     if (slot != state::no_flow)
     {
         const flow_record& own = state_.flows[slot];
+        if (own.state == flow_state::awaiting_owner)
+        {
+            waiting = state_.held.find(hash);
+        }
         const auto own_age = since(own.opened_ms, now);
         const bool placed_here =
             own.state == flow_state::opening && !own.has_data;
         const bool older =
             own_age >= std::chrono::milliseconds(transfer.age_ms);
-        if (own.state != flow_state::moved && (!placed_here || older))
+        if (own.state != flow_state::moved && !waiting &&
+            (!placed_here || older))
         {
             return true;
         }
@@ -342,6 +348,14 @@
     {
         state_.pins.add_now({slot, hash});
     }
+    if (waiting)
+    {
+        // The packet that was held until the owner is known.
+        state_.held.erase(*waiting);
+        state_.pending.push_back(release_held{
+            waiting->ticket, forward(slot, placement_reason::existing_flow),
+            now - waiting->since});
+    }
     return true;
 }
 
--- a/src/coordination/packet_path.cpp
+++ b/src/coordination/packet_path.cpp
@@ -93,10 +93,29 @@
     {
         return decide_syn(packet, slot);
     }
+    if (may_be_outdated(record))
+    {
+        const instance_id owner = state_.owners.owner(packet.hash);
+        const bool returns = packet.event.header.hops > 0 &&
+                             packet.event.header.passed_by == owner;
+        if (owner.value != 0 && owner != state_.settings.self && !returns &&
+            packet.event.header.hops < max_hops - 1)
+        {
+            return pass_to(owner, packet.event);
+        }
+    }
     observe(packet, record);
     return lifecycle_.forward(slot, placement_reason::existing_flow);
 }
 
+bool packet_path::may_be_outdated(const flow_record& record)
+{
+    // The owner has a record of a moved flow. While no data has come, it may
+    // also have placed the flow anew after a repeated SYN.
+    return record.state == flow_state::moved ||
+           (record.state == flow_state::opening && !record.has_data);
+}
+
 packet_decision packet_path::decide_syn(const classified_packet& packet,
                                         flow_slot slot)
 {
@@ -243,6 +262,10 @@
                          owner == event.header.passed_by &&
                          !state_.settings.faults.no_return_guard;
     const bool keep = returns && !must_go_back(packet);
+    if (returns && !keep && event.header.hops >= max_hops)
+    {
+        return dropped{drop_reason::too_many_hops};
+    }
     if (owner.value != 0 && !own && !keep)
     {
         if (event.header.hops >= max_hops)
@@ -260,16 +283,13 @@
 
 bool packet_path::must_go_back(const classified_packet& packet) const
 {
-    if (packet.event.header.hops >= max_hops)
-    {
-        return false;
-    }
     // An instance that stops opens no flow, not even one that its owner has
     // asked it for. A datagram does not tell whether its flow is new, and only
-    // the owner may open it.
-    const bool may_open = packet.key.protocol == ip_protocol::udp &&
-                          !state_.kept_pins.find(packet.hash,
-                                                 packet.key.service);
+    // the owner may open it, but for views that differ until the last hop.
+    const bool may_open =
+        packet.key.protocol == ip_protocol::udp &&
+        packet.event.header.hops < max_hops &&
+        !state_.kept_pins.find(packet.hash, packet.key.service);
     return may_open || state_.members.leaving();
 }
 
@@ -408,8 +428,10 @@
 packet_path::pass_to_former_owner(const classified_packet& packet) const
 {
     const packet_event& event = packet.event;
+    // One hop is left for a datagram to come back.
+    const int hops_needed = packet.key.protocol == ip_protocol::udp ? 2 : 1;
     if (state_.settings.faults.no_previous_owner ||
-        event.header.hops >= max_hops)
+        event.header.hops + hops_needed > max_hops)
     {
         return std::nullopt;
     }
