--- a/src/boragestand-entry/control_link.cpp
+++ b/src/boragestand-entry/control_link.cpp
@@ -9,6 +9,11 @@
 {
 
 constexpr duration report_interval = std::chrono::seconds(5);
+
+/// Least time between two reports, so that a burst of release notes does not
+/// cost one report for each to each control instance.
+constexpr duration report_spacing = std::chrono::milliseconds(250);
+
 constexpr duration request_timeout = std::chrono::seconds(2);
 
 } // namespace
@@ -20,6 +25,7 @@
                            acknowledged on_acknowledged)
     : self_(self)
     , incarnation_(incarnation)
+    , timers_(timers)
     , on_acknowledged_(std::move(on_acknowledged))
     , timer_(
           timers.every(report_interval, [this](time_point) { send_report(); }))
@@ -34,7 +40,19 @@
 void control_link::report_revision(std::uint64_t revision)
 {
     revision_ = revision;
-    send_report();
+    if (report_due_)
+    {
+        return;
+    }
+    const duration passed = timers_.now() - last_report_;
+    if (passed >= report_spacing)
+    {
+        send_report();
+        return;
+    }
+    report_due_ = true;
+    spacing_timer_ = timers_.after(report_spacing - passed,
+                                   [this](time_point) { send_report(); });
 }
 
 void control_link::request_director(
@@ -50,6 +68,8 @@
 
 void control_link::send_report()
 {
+    report_due_ = false;
+    last_report_ = timers_.now();
     const nlohmann::json body{{"instance", self_.value},
                               {"incarnation", incarnation_},
                               {"revision", revision_}};
--- a/src/boragestand-entry/control_link.hpp
+++ b/src/boragestand-entry/control_link.hpp
@@ -23,8 +23,9 @@
                  const std::vector<transport::endpoint>& control,
                  acknowledged on_acknowledged);
 
-    /// Reports a revision to every control instance now; also repeated every
-    /// 5 s, so that a control instance that restarts learns it.
+    /// Reports a revision to every control instance, at most four times a
+    /// second; also repeated every 5 s, so that a control instance that
+    /// restarts learns it.
     void report_revision(std::uint64_t revision);
 
     /// Asks control to wake the director. Other control instances are tried in
@@ -41,8 +42,12 @@
     std::uint64_t incarnation_;
     std::uint64_t revision_{0};
     std::vector<std::unique_ptr<transport::http2_client>> clients_;
+    transport::timer_service& timers_;
     acknowledged on_acknowledged_;
+    time_point last_report_{};
+    bool report_due_{false};
     transport::subscription timer_;
+    transport::subscription spacing_timer_;
 };
 
 } // namespace boragestand::entry
