--- a/src/boragestand-control/group_founding.cpp
+++ b/src/boragestand-control/group_founding.cpp
@@ -54,10 +54,6 @@
 
 void group_founding::start()
 {
-    if (is_member())
-    {
-        return;
-    }
     polling_ = timers_.every(poll_interval, [this](time_point) { poll(); });
     poll();
 }
@@ -78,10 +74,9 @@
 
 void group_founding::poll()
 {
-    if (is_member())
+    joined_ = joined_ || is_member();
+    if (joined_)
     {
-        // This may run inside the timer's own callback.
-        peers_.post([this] { polling_.cancel(); });
         return;
     }
     found_if_complete();
@@ -143,16 +138,7 @@
         group.members.push_back({id, each.address, true, 0});
     }
     std::sort(group.members.begin(), group.members.end());
-    adopt(group);
-}
-
-void group_founding::adopt(const protocol::replica_group& group)
-{
-    const auto outcome = host_.found(group);
-    if (!outcome)
-    {
-        log_.failed(outcome.error());
-    }
+    host_.found(group);
 }
 
 void group_founding::join(const founding_status& status)
@@ -163,7 +149,7 @@
         // In a later group the leader sends what this instance needs.
         if (status.founding_group && host_.node().group().members.empty())
         {
-            adopt(status.group);
+            host_.found(status.group);
         }
         return;
     }
