--- /dev/null
+++ b/src/coordination/membership_checks.cpp
@@ -0,0 +1,261 @@
+#include "coordination/membership.hpp"
+
+#include <algorithm>
+
+// What membership does as time passes: probes, suspicions, the refresh after a
+// pause and the search for lost members.
+
+namespace boragestand::coordination
+{
+
+using protocol::member_state;
+using protocol::member_update;
+
+namespace
+{
+
+constexpr std::size_t indirect_probes = 2;
+constexpr duration dead_probe_interval = std::chrono::seconds(2);
+/// Members behind one partition come back within this time of each other.
+constexpr duration merge_time = std::chrono::milliseconds(100);
+/// Right after a death the flows of the dead member arrive all at once; they
+/// are not made to wait for a check whether it lives after all.
+constexpr duration silence_validity = std::chrono::seconds(1);
+/// A member that has been dead for longer is not asked for its flows.
+constexpr duration longest_partition = std::chrono::hours(2);
+constexpr duration relay_lifetime = std::chrono::seconds(1);
+
+} // namespace
+
+void membership::notice_pause(time_point now, router_effects& effects)
+{
+    if (!last_tick_ || now - *last_tick_ <= settings_.suspicion_timeout ||
+        settings_.faults.no_freshness)
+    {
+        return;
+    }
+    last_tick_ = now;
+    paused_ = true;
+    begin_refresh(now, 2 * settings_.suspicion_timeout, false, effects);
+}
+
+void membership::begin_refresh(time_point now, duration limit, bool all,
+                               router_effects& effects)
+{
+    fresh_ = false;
+    refresh_after_ = sequence_;
+    refresh_limit_ = now + limit;
+    probes_.clear();
+    std::size_t asked = 0;
+    for (peer& member : peers_)
+    {
+        if (member.doubted_since)
+        {
+            member.doubted_since = now;
+        }
+        member.refresh_pending =
+            all || member.known.state != member_state::dead;
+        if (member.refresh_pending)
+        {
+            ++asked;
+            send_probe(member.known.member, now, false, effects);
+        }
+    }
+    // At the start all members are asked, so that each knows this instance
+    // before it owns a flow; later a majority tells whether it was replaced.
+    refresh_needed_ = all ? 0 : asked - std::min(asked, asked / 2 + 1);
+}
+
+void membership::check_refresh(time_point now, router_effects& effects)
+{
+    if (fresh_ || !last_tick_)
+    {
+        return;
+    }
+    const auto missing = static_cast<std::size_t>(std::count_if(
+        peers_.begin(), peers_.end(),
+        [](const peer& member) { return member.refresh_pending; }));
+    if (missing <= refresh_needed_ || now >= refresh_limit_)
+    {
+        fresh_ = true;
+        paused_ = false;
+        last_change_ = now;
+        ++generation_;
+        if (refuted_ >= incarnation_)
+        {
+            incarnation_ = refuted_ + 1;
+            broadcast(now, effects);
+        }
+    }
+}
+
+void membership::check_probes(time_point now, router_effects& effects)
+{
+    std::erase_if(relayed_, [&](const relayed_probe& probe)
+                  { return now - probe.sent > relay_lifetime; });
+    std::vector<instance_id> silent;
+    for (pending_probe& probe : probes_)
+    {
+        if (now - probe.sent < settings_.probe_timeout)
+        {
+            continue;
+        }
+        if (probe.indirect)
+        {
+            silent.push_back(probe.target);
+            continue;
+        }
+        probe.indirect = true;
+        probe.sent = now;
+        auto helpers = reachable();
+        std::erase(helpers, probe.target);
+        for (std::size_t sent = 0; sent < indirect_probes && !helpers.empty();
+             ++sent)
+        {
+            const auto chosen = random_.below(helpers.size());
+            send(helpers[chosen],
+                 protocol::probe{probe.sequence, probe.target, settings_.self,
+                                 revision_, updates_for(helpers[chosen])},
+                 effects);
+            helpers.erase(helpers.begin() +
+                          static_cast<std::ptrdiff_t>(chosen));
+        }
+    }
+    for (const instance_id target : silent)
+    {
+        std::erase_if(probes_, [&](const pending_probe& probe)
+                      { return probe.target == target; });
+        if (peer* member = find(target))
+        {
+            doubt(*member, now, effects);
+        }
+    }
+}
+
+void membership::check_doubts(time_point now, router_effects& effects)
+{
+    bool died = false;
+    for (peer& member : peers_)
+    {
+        if (!member.doubted_since ||
+            now - *member.doubted_since < settings_.suspicion_timeout)
+        {
+            continue;
+        }
+        member_update update = member.known;
+        update.state = member_state::dead;
+        set_state(member, update, now, effects);
+        died = true;
+    }
+    if (died)
+    {
+        broadcast(now, effects);
+    }
+}
+
+void membership::probe_next(time_point now, router_effects& effects)
+{
+    if (now < next_probe_)
+    {
+        return;
+    }
+    next_probe_ = now + settings_.probe_interval;
+    for (int round = 0; round < 2; ++round)
+    {
+        while (!order_.empty())
+        {
+            const instance_id target = order_.back();
+            order_.pop_back();
+            if (lives(target))
+            {
+                send_probe(target, now, true, effects);
+                return;
+            }
+        }
+        order_ = reachable();
+        for (std::size_t left = order_.size(); left > 1; --left)
+        {
+            std::swap(order_[left - 1], order_[random_.below(left)]);
+        }
+    }
+}
+
+bool membership::ask_lost(time_point now)
+{
+    if (now - last_return_ < merge_time)
+    {
+        return true;
+    }
+    if (lost_count_ == 0 || now - last_death_ < silence_validity)
+    {
+        return false;
+    }
+    silence_wanted_ = true;
+    return true;
+}
+
+bool membership::lost_asked(time_point since, time_point now) const
+{
+    if (now - last_return_ < merge_time)
+    {
+        return false;
+    }
+    return lost_count_ == 0 || silence_confirmed_ >= since ||
+           last_return_ >= since;
+}
+
+void membership::check_silence(time_point now, router_effects& effects)
+{
+    if (silence_check_ && now - *silence_check_ >= settings_.probe_timeout)
+    {
+        silence_confirmed_ = *silence_check_;
+        silence_check_.reset();
+    }
+    if (!silence_wanted_ || silence_check_)
+    {
+        return;
+    }
+    silence_wanted_ = false;
+    silence_check_ = now;
+    const auto members = lost();
+    lost_count_ = members.size();
+    for (const instance_id member : members)
+    {
+        send_probe(member, now, false, effects);
+    }
+}
+
+std::vector<instance_id> membership::lost() const
+{
+    std::vector<instance_id> members;
+    for (const peer& member : peers_)
+    {
+        if (member.known.state == member_state::dead &&
+            member.known.incarnation != 0 && !member.stopped &&
+            last_death_ - member.died < longest_partition)
+        {
+            members.push_back(member.known.member);
+        }
+    }
+    return members;
+}
+
+void membership::probe_dead(time_point now, router_effects& effects)
+{
+    if (now < next_dead_probe_)
+    {
+        return;
+    }
+    next_dead_probe_ = now + dead_probe_interval;
+    for (std::size_t tried = 0; tried < peers_.size(); ++tried)
+    {
+        const peer& member = peers_[next_dead_++ % peers_.size()];
+        if (member.known.state == member_state::dead)
+        {
+            send_probe(member.known.member, now, false, effects);
+            return;
+        }
+    }
+}
+
+} // namespace boragestand::coordination
