--- a/src/boragestand-control/group_founding.hpp
+++ b/src/boragestand-control/group_founding.hpp
@@ -46,7 +46,6 @@
     void take(std::uint32_t instance, const founding_status& status);
     void join(const founding_status& status);
     void found_if_complete();
-    void adopt(const protocol::replica_group& group);
     void request_replacement(const founding_status& status,
                              replica_id replaced);
     bool is_member() const;
@@ -62,6 +61,8 @@
     transport::subscription polling_;
     /// Identities of other founders that have no history.
     std::map<std::uint32_t, replica_id> new_founders_;
+    /// Set for good: a member that is removed later does not ask again.
+    bool joined_{false};
     bool replacement_logged_{false};
 };
 
--- a/src/coordination/packet_path.hpp
+++ b/src/coordination/packet_path.hpp
@@ -23,6 +23,7 @@
 private:
     packet_decision decide_held(const classified_packet& packet,
                                 state::flow_slot slot);
+    static bool may_be_outdated(const state::flow_record& record);
     packet_decision decide_syn(const classified_packet& packet,
                                state::flow_slot slot);
     bool may_place_again(const classified_packet& packet,
@@ -34,6 +35,7 @@
                           state::flow_record& record);
 
     packet_decision decide_unknown(const classified_packet& packet);
+    bool must_go_back(const classified_packet& packet) const;
     packet_decision decide_as_owner(const classified_packet& packet);
     packet_decision decide_lookup(const classified_packet& packet);
     void finish_wait(const held_flow& waiting, time_point now);
