--- a/src/coordination/flow_router.cpp
+++ b/src/coordination/flow_router.cpp
@@ -83,7 +83,7 @@
     lifecycle.check_waits(now);
     packets.check_waits(now);
     sweep.tick(now);
-    state.pins.tick(state.members, now, effects);
+    state.pins.tick(state.members, exchange.budget_left(), now, effects);
     state.transfers.tick(state.members, now, effects);
     exchange.tick(now, effects);
     for (director_request& request : state.traffic.director_requests(now))
--- a/src/coordination/peer_exchange.cpp
+++ b/src/coordination/peer_exchange.cpp
@@ -15,6 +15,10 @@
 /// the lease end, one does not.
 constexpr double renewal_share = 0.4;
 constexpr duration load_interval = std::chrono::milliseconds(250);
+/// A load report goes to each peer this often even without budget.
+constexpr duration longest_silence = std::chrono::seconds(2);
+/// Budget in bytes that load reports leave for pins.
+constexpr double pin_reserve = 200;
 /// Waits before the copies of a new settled set, against loss.
 constexpr std::array settled_waits{
     std::chrono::milliseconds(100), std::chrono::milliseconds(300),
@@ -232,9 +236,11 @@
     for (std::size_t tried = 0; tried < peers.size(); ++tried)
     {
         const instance_id peer = peers[next_peer_ % peers.size()];
-        const bool recent =
-            load_sent_.contains(peer) && now - load_sent_[peer] < load_interval;
-        if (recent || budget_ < static_cast<double>(last_load_size_))
+        const bool known = load_sent_.contains(peer);
+        const duration age = known ? now - load_sent_[peer] : longest_silence;
+        const bool affordable =
+            budget_ >= static_cast<double>(last_load_size_) + pin_reserve;
+        if (age < load_interval || (!affordable && age < longest_silence))
         {
             return;
         }
--- a/src/coordination/peer_exchange.hpp
+++ b/src/coordination/peer_exchange.hpp
@@ -29,6 +29,9 @@
     /// Sends a new member what it has to know.
     void greet(instance_id member, time_point now, router_effects& effects);
 
+    /// Whether control messages that can wait may be sent now.
+    bool budget_left() const { return budget_ > 0; }
+
     /// Counts the bytes of the messages from this position on.
     void account(const router_effects& effects, std::size_t first,
                  time_point now);
--- a/src/coordination/pin_sender.cpp
+++ b/src/coordination/pin_sender.cpp
@@ -203,7 +203,7 @@
     ++pins_sent_;
 }
 
-void pin_sender::send_queued(time_point now)
+void pin_sender::send_waiting(time_point now)
 {
     for (; !waiting_.empty(); waiting_.pop_front())
     {
@@ -213,7 +213,20 @@
             pin(flow, true, now);
         }
     }
-    backlog_bytes_ = 0;
+}
+
+void pin_sender::note_backlog(time_point now)
+{
+    const auto first_later = std::partition_point(aging_.begin(), aging_.end(),
+                                                  [now](const aging_flow& flow)
+                                                  { return flow.due <= now; });
+    const auto due = static_cast<std::size_t>(first_later - aging_.begin());
+    backlog_bytes_ = (due + now_.size()) *
+                     static_cast<std::size_t>(pin_bytes * settings_.backups);
+}
+
+void pin_sender::send_queued(time_point now)
+{
     // Flows without any copy go before those whose copies are to be moved.
     for (; !aging_.empty() && aging_.front().due <= now; aging_.pop_front())
     {
@@ -223,8 +236,6 @@
                          flows_[flow.slot].backups[0] == 0;
         if (due && !pin(flow, false, now))
         {
-            backlog_bytes_ = aging_.size() * static_cast<std::size_t>(
-                                                 pin_bytes * settings_.backups);
             return;
         }
     }
@@ -237,21 +248,27 @@
         }
         if (wants_pin(flows_[flow.slot]) && !pin(flow, false, now))
         {
-            backlog_bytes_ = now_.size() * static_cast<std::size_t>(
-                                               pin_bytes * settings_.backups);
             return;
         }
         flows_[flow.slot].queued = false;
     }
 }
 
-void pin_sender::tick(const membership& members, time_point now,
-                      router_effects& effects)
+void pin_sender::tick(const membership& members, bool budget_left,
+                      time_point now, router_effects& effects)
 {
-    send_queued(now);
+    send_waiting(now);
+    if (budget_left)
+    {
+        send_queued(now);
+    }
+    note_backlog(now);
     for (auto& [backup, channel] : channels_)
     {
-        take_removals(channel, now);
+        if (budget_left)
+        {
+            take_removals(channel, now);
+        }
         flush(backup, channel, members, now, effects);
         repeat(backup, channel, members, now, effects);
     }
--- a/src/coordination/pin_sender.hpp
+++ b/src/coordination/pin_sender.hpp
@@ -57,8 +57,9 @@
     /// Drops what was meant for a dead member.
     void member_died(instance_id id);
 
-    /// Sends what is due and repeats what was not confirmed.
-    void tick(const membership& members, time_point now,
+    /// Sends what is due and repeats what was not confirmed. Without budget for
+    /// control messages only pins that a packet waits for are sent.
+    void tick(const membership& members, bool budget_left, time_point now,
               router_effects& effects);
 
     /// Takes a confirmation. Appends flows that waited for it.
@@ -101,7 +102,9 @@
 
     backup_numbers wanted_backups(std::uint64_t hash) const;
     bool pin(flow_reference flow, bool forced, time_point now);
+    void send_waiting(time_point now);
     void send_queued(time_point now);
+    void note_backlog(time_point now);
     void copy_to(std::uint8_t backup, flow_reference flow, bool urgent);
     void take_removals(backup_channel& channel, time_point now);
     void flush(std::uint8_t backup, backup_channel& channel,
--- a/src/coordination/router_settings.hpp
+++ b/src/coordination/router_settings.hpp
@@ -60,7 +60,7 @@
     duration pin_age{std::chrono::seconds(1)};
     double pin_bytes_per_second{2000};
     /// All control messages but hand-over; load reports take what is left.
-    double control_bytes_per_second{2800};
+    double control_bytes_per_second{2700};
     double handover_bytes_per_second{200000};
     std::size_t flow_capacity{600000};
     traffic_settings traffic;
--- a/tests/flows/flow_world.hpp
+++ b/tests/flows/flow_world.hpp
@@ -26,7 +26,9 @@
     bool with_udp{false};
     unsigned desk_upstreams{8};
     router_faults faults;
+    /// Generous, so that scenarios with few flows test other things.
     double pin_bytes_per_second{20000};
+    double control_bytes_per_second{10000};
 };
 
 /// What went wrong, or right, with the flows of a world.
