Keep a flow in its handshake at the instance that opened it

The record of a fresh SYN was taken for outdated when the view changed before the ACK came; the owner did not have it and chose another upstream. A record is now doubted only after the pause before a repeated SYN.

--- a/src/coordination/packet_path.cpp
+++ b/src/coordination/packet_path.cpp
@@ -18,6 +18,8 @@
 /// Times a packet may be passed between instances: to the owner, and twice more
 /// while flows change their owner.
 constexpr std::uint8_t max_hops = 3;
+/// Callers wait longer than this before they repeat a SYN.
+constexpr duration shortest_syn_pause = std::chrono::milliseconds(500);
 /// Repeated SYNs after which an upstream that takes no new flows is given up.
 /// One alone may be due to a lost packet while the upstream drains.
 constexpr unsigned syns_before_new_place = 2;
@@ -93,7 +95,7 @@
     {
         return decide_syn(packet, slot);
     }
-    if (may_be_outdated(record))
+    if (may_be_outdated(record, packet.event.now))
     {
         const instance_id owner = state_.owners.owner(packet.hash);
         const bool returns = packet.event.header.hops > 0 &&
@@ -108,12 +110,13 @@
     return lifecycle_.forward(slot, placement_reason::existing_flow);
 }
 
-bool packet_path::may_be_outdated(const flow_record& record)
+bool packet_path::may_be_outdated(const flow_record& record, time_point now)
 {
     // The owner has a record of a moved flow. While no data has come, it may
     // also have placed the flow anew after a repeated SYN.
     return record.state == flow_state::moved ||
-           (record.state == flow_state::opening && !record.has_data);
+           (record.state == flow_state::opening && !record.has_data &&
+            since(record.last_packet_ms, now) > shortest_syn_pause);
 }
 
 packet_decision packet_path::decide_syn(const classified_packet& packet,
--- a/src/coordination/packet_path.hpp
+++ b/src/coordination/packet_path.hpp
@@ -23,7 +23,8 @@
 private:
     packet_decision decide_held(const classified_packet& packet,
                                 state::flow_slot slot);
-    static bool may_be_outdated(const state::flow_record& record);
+    static bool may_be_outdated(const state::flow_record& record,
+                                time_point now);
     packet_decision decide_syn(const classified_packet& packet,
                                state::flow_slot slot);
     bool may_place_again(const classified_packet& packet,
