Remember the FIN of a flow that is taken over, and end the last stop

Cause: a flow that was taken over with its FIN counted as open until the idle limit of 300 s, and the last instance of a planned stop waited for it. Change: adopt() keeps the FIN; an instance without a successor stops when its half-closed flows were idle for 5 s.

--- a/src/boragestand-entry/upstream_announcement.cpp
+++ b/src/boragestand-entry/upstream_announcement.cpp
@@ -81,7 +81,7 @@
     {
         return tl::unexpected(text.error());
     }
-    if (*text != "" && *text != "ready" && *text != "draining")
+    if (!text->empty() && *text != "ready" && *text != "draining")
     {
         return member_fault("state", "\"ready\" or \"draining\"");
     }
--- a/src/coordination/flow_lifecycle.cpp
+++ b/src/coordination/flow_lifecycle.cpp
@@ -215,6 +215,7 @@
     bind(added, upstream, address ? &*address : nullptr);
     added.state = flow_state::established;
     added.has_data = true;
+    added.finished = packet.event.packet.flags.fin;
     added.first_sequence = 0;
     added.work = packet.event.header.work;
     added.opened_ms -= static_cast<std::uint32_t>(state_.settings.pin_age /
--- a/src/coordination/flow_router.cpp
+++ b/src/coordination/flow_router.cpp
@@ -17,6 +17,9 @@
 constexpr duration orphan_time = std::chrono::seconds(300);
 /// A planned stop ends when no packet has come for this long.
 constexpr duration quiet_before_stop = std::chrono::seconds(1);
+/// The last instance cannot hand half-closed flows over; a caller that still
+/// gets its answer confirms parts of it more often than this.
+constexpr duration half_closed_before_stop = std::chrono::seconds(5);
 constexpr duration fetch_interval = std::chrono::seconds(1);
 
 } // namespace
@@ -259,14 +262,20 @@
     {
         return;
     }
+    auto successors = state.members.eligible();
+    std::erase(successors, state.settings.self);
+    const bool last = successors.empty();
     bool all_moved = true;
     for (state::flow_slot slot = 0;
          all_moved && slot < state.flows.slot_count(); ++slot)
     {
-        const auto at = state.flows[slot].state;
-        all_moved = at == state::flow_state::free ||
-                    at == state::flow_state::moved ||
-                    at == state::flow_state::closing;
+        const state::flow_record& record = state.flows[slot];
+        all_moved =
+            record.state == state::flow_state::free ||
+            record.state == state::flow_state::moved ||
+            record.state == state::flow_state::closing ||
+            (last && record.finished &&
+             since(record.last_packet_ms, now) >= half_closed_before_stop);
     }
     const bool quiet = now - state.last_packet >= quiet_before_stop &&
                        now - stop_since >= quiet_before_stop;
