--- a/scripts/measure_packets.sh
+++ b/scripts/measure_packets.sh
@@ -12,8 +12,9 @@
 pids=()
 
 cleanup() {
+    # SIGKILL: a planned stop would wait for the flows of the generator.
     for pid in "${pids[@]}"; do
-        kill -TERM "$pid" 2>/dev/null || true
+        kill -KILL "$pid" 2>/dev/null || true
     done
     wait
     rm -rf "$work"
