--- a/src/boragestand-control/control_log.hpp
+++ b/src/boragestand-control/control_log.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/coordination.hpp"
+#include "replica/replica_log.hpp"
 #include "settings/settings.hpp"
 
 #include <string_view>
@@ -9,25 +9,25 @@
 {
 
 /// Writes the log lines of a control instance.
-class control_log
+class control_log final : public replica::replica_log
 {
 public:
     explicit control_log(settings::event_log& log) : log_(log) {}
 
     /// The process runs with the identity on its disk.
-    void started(replica_id self, const state::log_recovery& recovery);
+    void started(replica_id self, const state::log_recovery& recovery) override;
 
     /// The first group is known and durable.
-    void founded(const protocol::replica_group& group);
+    void founded(const protocol::replica_group& group) override;
 
     /// The disk is new although the group knows this instance.
     void disk_replaced(replica_id self, replica_id replaced);
 
     /// Role, term or known leader changed.
-    void role_changed(const coordination::role_changed& change);
+    void role_changed(const coordination::role_changed& change) override;
 
     /// A membership entry took effect.
-    void group_changed(const protocol::log_entry& entry);
+    void group_changed(const protocol::log_entry& entry) override;
 
     /// A command took effect or was turned away by the state machine.
     void command_applied(std::uint64_t index, std::uint64_t revision,
@@ -36,7 +36,7 @@
 
     /// A snapshot was taken or came from the leader.
     void snapshot_stored(const protocol::agreement_snapshot& snapshot,
-                         bool installed);
+                         bool installed) override;
 
     /// A request was answered with an error.
     void request_failed(std::string_view path, const error& cause);
@@ -56,7 +56,7 @@
     void stopping(std::string_view reason);
 
     /// The process cannot go on.
-    void failed(const error& cause);
+    void failed(const error& cause) override;
 
 private:
     settings::event_log& log_;
--- a/src/boragestand-control/control_program.cpp
+++ b/src/boragestand-control/control_program.cpp
@@ -59,7 +59,7 @@
     {
         return tl::unexpected(endpoints.error());
     }
-    auto disk = replica_disk::open(settings.data_directory);
+    auto disk = replica::replica_disk::open(settings.data_directory);
     if (!disk)
     {
         return tl::unexpected(disk.error());
@@ -89,7 +89,7 @@
                                  transport::timer_service& timers,
                                  const settings::control_settings& settings,
                                  const addresses& endpoints,
-                                 std::unique_ptr<replica_disk> disk,
+                                 std::unique_ptr<replica::replica_disk> disk,
                                  settings::event_log& log)
     : loop_(loop)
     , timers_(timers)
--- a/src/boragestand-control/control_program.hpp
+++ b/src/boragestand-control/control_program.hpp
@@ -37,7 +37,7 @@
                     transport::timer_service& timers,
                     const settings::control_settings& settings,
                     const addresses& endpoints,
-                    std::unique_ptr<replica_disk> disk,
+                    std::unique_ptr<replica::replica_disk> disk,
                     settings::event_log& log);
 
     static result<addresses>
@@ -49,7 +49,7 @@
     transport::main_loop& loop_;
     transport::timer_service& timers_;
     control_log log_;
-    peer_link peers_;
+    replica::peer_link peers_;
     replica_host host_;
     configuration_streams streams_;
     director_requests director_;
--- a/src/boragestand-control/director_requests.cpp
+++ b/src/boragestand-control/director_requests.cpp
@@ -23,7 +23,8 @@
 director_requests::director_requests(const transport::endpoint& director,
                                      std::string path,
                                      transport::timer_service& timers,
-                                     peer_link& peers, control_log& log)
+                                     replica::peer_link& peers,
+                                     control_log& log)
     : director_(director)
     , path_(std::move(path))
     , peers_(peers)
--- a/src/boragestand-control/director_requests.hpp
+++ b/src/boragestand-control/director_requests.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "control_log.hpp"
-#include "peer_link.hpp"
+#include "replica/replica.hpp"
 
 #include <deque>
 #include <map>
@@ -35,8 +35,8 @@
 {
 public:
     director_requests(const transport::endpoint& director, std::string path,
-                      transport::timer_service& timers, peer_link& peers,
-                      control_log& log);
+                      transport::timer_service& timers,
+                      replica::peer_link& peers, control_log& log);
 
     /// Passes a wish on; the exchange is answered once the director has
     /// acknowledged.
@@ -56,7 +56,7 @@
 
     transport::endpoint director_;
     std::string path_;
-    peer_link& peers_;
+    replica::peer_link& peers_;
     control_log& log_;
     std::map<director_wish, open_wish> open_;
     std::set<director_wish> done_;
--- a/src/boragestand-control/group_founding.cpp
+++ b/src/boragestand-control/group_founding.cpp
@@ -21,7 +21,7 @@
                                std::vector<founder> founders,
                                replica_host& host,
                                transport::timer_service& timers,
-                               peer_link& peers, control_log& log)
+                               replica::peer_link& peers, control_log& log)
     : self_(self)
     , address_(address)
     , founders_(std::move(founders))
--- a/src/boragestand-control/group_founding.hpp
+++ b/src/boragestand-control/group_founding.hpp
@@ -31,7 +31,7 @@
 
     group_founding(std::uint32_t self, const transport::endpoint& address,
                    std::vector<founder> founders, replica_host& host,
-                   transport::timer_service& timers, peer_link& peers,
+                   transport::timer_service& timers, replica::peer_link& peers,
                    control_log& log);
 
     /// Asks all others now and regularly until this instance is a member.
@@ -56,7 +56,7 @@
     std::vector<founder> founders_;
     replica_host& host_;
     transport::timer_service& timers_;
-    peer_link& peers_;
+    replica::peer_link& peers_;
     control_log& log_;
     transport::subscription polling_;
     /// Identities of other founders that have no history.
--- a/src/boragestand-control/member_service.cpp
+++ b/src/boragestand-control/member_service.cpp
@@ -20,7 +20,7 @@
 
 } // namespace
 
-member_service::member_service(replica_host& host, peer_link& peers,
+member_service::member_service(replica_host& host, replica::peer_link& peers,
                                control_log& log)
     : host_(host), peers_(peers), log_(log)
 {
--- a/src/boragestand-control/member_service.hpp
+++ b/src/boragestand-control/member_service.hpp
@@ -17,7 +17,8 @@
 public:
     using exchange = std::shared_ptr<transport::http_exchange>;
 
-    member_service(replica_host& host, peer_link& peers, control_log& log);
+    member_service(replica_host& host, replica::peer_link& peers,
+                   control_log& log);
 
     /// Runs the change; the answer comes once it is committed.
     void handle(const transport::http_request& request, const exchange& answer);
@@ -44,7 +45,7 @@
     void refuse(const error& cause, const exchange& answer);
 
     replica_host& host_;
-    peer_link& peers_;
+    replica::peer_link& peers_;
     control_log& log_;
 };
 
--- a/src/boragestand-control/replica_host.hpp
+++ b/src/boragestand-control/replica_host.hpp
@@ -1,25 +1,17 @@
 #pragma once
 
-#include "control_log.hpp"
-#include "peer_link.hpp"
-#include "replica_disk.hpp"
-
-#include <functional>
-#include <map>
-#include <memory>
-#include <optional>
+#include "control_machine.hpp"
 
 namespace boragestand::control
 {
 
-/// Runs the agreement_node of this instance: carries its effects out on disk,
-/// network and state machine, and hands answers to those who asked.
+/// The replica of this control instance with its typed commands.
 class replica_host
 {
 public:
     using command_callback =
         std::function<void(result<state::command_outcome>)>;
-    using index_callback = std::function<void(result<std::uint64_t>)>;
+    using index_callback = replica::replica_runner::index_callback;
 
     /// Callbacks to the program.
     struct hooks
@@ -30,87 +22,42 @@
         std::function<void(const error&)> failed;
     };
 
-    replica_host(std::unique_ptr<replica_disk> disk,
+    replica_host(std::unique_ptr<replica::replica_disk> disk,
                  const transport::endpoint& address, std::uint64_t seed,
-                 transport::timer_service& timers, peer_link& peers,
-                 control_log& log, hooks callbacks);
-
-    /// Restores the state machine from the disk and starts the replica.
-    result<void> start();
-
-    /// Makes the first group durable and goes on as one of its members. The
-    /// process stops if that fails.
-    void found(const protocol::replica_group& founders);
+                 transport::timer_service& timers, replica::peer_link& peers,
+                 control_log& log, const hooks& callbacks);
 
-    /// Takes a message of another control instance.
-    void receive(const protocol::agreement_envelope& envelope);
+    /// See replica_runner.
+    result<void> start() { return runner_.start(); }
+    void found(const protocol::replica_group& group) { runner_.found(group); }
+    void receive(const protocol::agreement_envelope& envelope)
+    {
+        runner_.receive(envelope);
+    }
+    void change(const coordination::membership_change& change,
+                index_callback callback)
+    {
+        runner_.change(change, std::move(callback));
+    }
+    void read(index_callback callback) { runner_.read(std::move(callback)); }
+    void hand_over() { runner_.hand_over(); }
+    const coordination::agreement_node& node() const { return runner_.node(); }
+    bool is_leader() const { return runner_.is_leader(); }
+    std::optional<transport::endpoint> leader_address() const
+    {
+        return runner_.leader_address();
+    }
+    bool has_open_requests() const { return runner_.has_open_requests(); }
 
     /// Runs a command. The outcome comes after a majority has synced it and
     /// this instance has applied it.
     void submit(const state::command& command, command_callback callback);
 
-    /// Changes the members of the group.
-    void change(const coordination::membership_change& change,
-                index_callback callback);
-
-    /// Calls back once the state holds everything that was answered before.
-    void read(index_callback callback);
-
-    /// Hands leadership over, if this instance leads.
-    void hand_over();
-
-    const coordination::agreement_node& node() const { return *node_; }
-    const state::control_state& state() const { return state_; }
-    bool is_leader() const;
-
-    /// Address of the leader, if known.
-    std::optional<transport::endpoint> leader_address() const;
-
-    /// Whether requests wait for the group.
-    bool has_open_requests() const
-    {
-        return !commands_.empty() || !indexes_.empty();
-    }
+    const state::control_state& state() const { return machine_.state(); }
 
 private:
-    void step(decltype(coordination::agreement_event::input) input);
-    void carry_out(const coordination::agreement_effects& effects);
-    result<void> run(const coordination::persist_hard_state& effect);
-    result<void> run(const coordination::persist_snapshot& effect);
-    result<void> run(const coordination::persist_entries& effect);
-    result<void> run(const coordination::send_message& effect);
-    result<void> run(const coordination::restore_snapshot& effect);
-    result<void> run(const coordination::apply_entry& effect);
-    result<void> run(const coordination::proposal_done& effect);
-    result<void> run(const coordination::read_done& effect);
-    result<void> run(const coordination::snapshot_wanted& effect);
-    result<void> run(const coordination::role_changed& effect);
-    result<void> run(const coordination::invariant_broken& effect);
-    result<void> restore(const std::string& data);
-    void finish_step();
-    void stop_for(const error& cause);
-    void answer(std::uint64_t token, const result<std::uint64_t>& index);
-
-    std::unique_ptr<replica_disk> disk_;
-    transport::endpoint address_;
-    std::uint64_t seed_;
-    transport::timer_service& timers_;
-    peer_link& peers_;
-    control_log& log_;
-    hooks callbacks_;
-    state::control_state state_;
-    std::unique_ptr<coordination::agreement_node> node_;
-    transport::subscription ticks_;
-
-    std::uint64_t next_token_{1};
-    std::map<std::uint64_t, command_callback> commands_;
-    std::map<std::uint64_t, index_callback> indexes_;
-    /// Outcomes of the entries that the current step applied, by index.
-    std::map<std::uint64_t, state::command_outcome> outcomes_;
-    std::optional<std::uint64_t> wanted_snapshot_;
-    std::vector<std::function<void()>> answers_;
-    std::uint64_t published_revision_{0};
-    bool failed_{false};
+    control_machine machine_;
+    replica::replica_runner runner_;
 };
 
 } // namespace boragestand::control
--- a/src/coordination/coordination.hpp
+++ b/src/coordination/coordination.hpp
@@ -6,7 +6,9 @@
 
 #include "coordination/agreement_events.hpp"
 #include "coordination/agreement_node.hpp"
+#include "coordination/directory_messages.hpp"
 #include "coordination/flow_events.hpp"
 #include "coordination/flow_router.hpp"
+#include "coordination/token_router.hpp"
 #include "coordination/traffic_policy.hpp"
 #include "coordination/traffic_types.hpp"
--- /dev/null
+++ b/src/coordination/directory_messages.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "coordination/upstream_registry.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace boragestand::coordination
+{
+
+/// New flows that an entry instance takes on, for sharing upstreams.
+struct entry_load
+{
+    std::uint32_t entry{0};       ///< address of the instance
+    std::uint32_t new_flows{0};   ///< a second, smoothed
+    std::uint64_t data_centre{0}; ///< hash of its name
+
+    auto operator<=>(const entry_load&) const = default;
+};
+
+/// Asks a control instance for what changed since the last reply. The cursor
+/// also acknowledges that reply.
+struct directory_request
+{
+    bool from_replica{false};      ///< from another control instance
+    transport::endpoint sender;    ///< of a replica: where it serves
+    std::uint64_t epoch{0};        ///< of the last reply; 0: none
+    std::uint64_t cursor{0};       ///< of the last reply
+    std::uint64_t plan_version{0}; ///< version that the sender holds
+    entry_load load;               ///< of an entry instance
+
+    auto operator<=>(const directory_request&) const = default;
+};
+
+/// What changed since a request's cursor. With an epoch other than the
+/// request's it holds everything.
+struct directory_reply
+{
+    std::uint64_t epoch{0}; ///< of this run of the control instance
+    std::uint64_t cursor{0};
+    /// Whether the instance is in contact with a majority of its group, so that
+    /// nothing that was acknowledged is missing for long.
+    bool current{false};
+    std::uint64_t plan_version{0};
+    std::vector<registered_upstream> upstreams;
+    std::vector<upstream_refresh> refreshes;   ///< only for replicas
+    std::optional<state::routing_plan> plan;   ///< if newer than the sender's
+    std::vector<transport::endpoint> controls; ///< members of the group
+    std::vector<entry_load> loads;             ///< only for entry instances
+
+    auto operator<=>(const directory_reply&) const = default;
+};
+
+/// Encodes a message with msgpack.
+std::string encode_message(const directory_request& message);
+std::string encode_message(const directory_reply& message);
+
+/// Decode what encode_message() wrote; error_kind::malformed_message
+/// otherwise.
+result<directory_request> decode_directory_request(std::string_view bytes);
+result<directory_reply> decode_directory_reply(std::string_view bytes);
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/token_router.cpp
@@ -0,0 +1,293 @@
+#include "coordination/token_router.hpp"
+
+#include <algorithm>
+
+namespace boragestand::coordination
+{
+
+namespace
+{
+
+std::uint64_t number_of(const transport::endpoint& value)
+{
+    return std::uint64_t{value.address} << 16 | value.port;
+}
+
+} // namespace
+
+std::string_view to_text(forward_reason reason)
+{
+    switch (reason)
+    {
+    case forward_reason::placed:
+        return "placed";
+    case forward_reason::placed_anew:
+        return "placed_anew";
+    case forward_reason::by_flow:
+        return "by_flow";
+    case forward_reason::by_token:
+        break;
+    }
+    return "by_token";
+}
+
+std::string_view to_text(token_drop reason)
+{
+    switch (reason)
+    {
+    case token_drop::malformed_flags:
+        return "malformed_flags";
+    case token_drop::unknown_token:
+        return "unknown_token";
+    case token_drop::no_token:
+        return "no_token";
+    case token_drop::no_upstream:
+        return "no_upstream";
+    case token_drop::no_plan:
+        break;
+    }
+    return "no_plan";
+}
+
+std::size_t
+token_router::flow_hash::operator()(const token_flow& flow) const noexcept
+{
+    return mix_hashes(number_of(flow.caller), number_of(flow.destination));
+}
+
+token_router::token_router(const token_router_settings& settings)
+    : settings_(settings), pool_(settings)
+{
+}
+
+bool token_router::apply(const state::routing_plan& plan)
+{
+    if (plan.version <= plan_version_)
+    {
+        return false;
+    }
+    plan_version_ = plan.version;
+    routes_.clear();
+    for (const auto& route : plan.routes)
+    {
+        auto& target = routes_[route.address];
+        target.services = route.services;
+        for (const auto& each : route.services)
+        {
+            target.total_weight += each.weight;
+        }
+    }
+    return true;
+}
+
+token_decision token_router::drop(token_drop reason)
+{
+    ++counters_.drops[static_cast<std::size_t>(reason)];
+    return drop_packet{reason};
+}
+
+token_decision token_router::decide(const token_packet& packet, time_point now)
+{
+    if (!packet.syn)
+    {
+        return continue_flow(packet, now);
+    }
+    if (packet.ack || packet.fin || packet.rst)
+    {
+        return drop(token_drop::malformed_flags);
+    }
+    return open_flow(packet, now);
+}
+
+token_decision token_router::open_flow(const token_packet& packet,
+                                       time_point now)
+{
+    const auto found = flows_.find(packet.flow);
+    if (found == flows_.end() || found->second.sequence != packet.sequence)
+    {
+        if (found != flows_.end())
+        {
+            release(found->second);
+            flows_.erase(found);
+        }
+        flow_record added;
+        added.sequence = packet.sequence;
+        return place(packet, added, forward_reason::placed, now);
+    }
+    auto& record = found->second;
+    record.seen = now;
+    if (record.phase != flow_phase::opening)
+    {
+        // A late copy of a SYN that was answered.
+        auto* upstream = pool_.find(record.upstream);
+        return forward_packet{record.upstream, upstream->record.address,
+                              upstream->token, forward_reason::by_flow};
+    }
+    give_up(record, now);
+    return place(packet, record, forward_reason::placed_anew, now);
+}
+
+void token_router::give_up(flow_record& record, time_point now)
+{
+    if (auto* upstream = pool_.find(record.upstream))
+    {
+        ++counters_.unanswered;
+        pool_.note_silence(*upstream, record.sent, now);
+    }
+    release(record);
+    record.tried.push_back(record.upstream);
+}
+
+const std::string& token_router::service_of(const route_target& target,
+                                            std::uint64_t hash) const
+{
+    auto rest = hash % std::max<std::uint64_t>(target.total_weight, 1);
+    for (const auto& each : target.services)
+    {
+        if (rest < each.weight)
+        {
+            return each.service;
+        }
+        rest -= each.weight;
+    }
+    return target.services.back().service;
+}
+
+token_decision token_router::place(const token_packet& packet,
+                                   flow_record& record, forward_reason reason,
+                                   time_point now)
+{
+    const auto route = routes_.find(packet.flow.destination);
+    if (route == routes_.end())
+    {
+        const bool trusted =
+            plan_confirmed_ && now - *plan_confirmed_ <= settings_.plan_trust;
+        if (plan_version_ == 0 || !trusted)
+        {
+            return drop(token_drop::no_plan);
+        }
+        ++counters_.resets;
+        return reset_caller{};
+    }
+    const auto hash = mix_hashes(flow_hash{}(packet.flow), packet.sequence);
+    std::uint32_t candidates = 0;
+    auto* upstream = pool_.choose(service_of(route->second, hash), record.tried,
+                                  hash, now, candidates);
+    if (upstream == nullptr)
+    {
+        return drop(token_drop::no_upstream);
+    }
+    const forward_packet decision{upstream->record.id, upstream->record.address,
+                                  upstream->token,     reason,
+                                  upstream->open,      candidates};
+    ++(reason == forward_reason::placed ? counters_.placed
+                                        : counters_.placed_anew);
+    if (flows_.size() < settings_.max_flows || flows_.contains(packet.flow))
+    {
+        upstream_pool::note_syn(*upstream, now);
+        record.upstream = upstream->record.id;
+        record.counted = true;
+        record.sent = now;
+        record.seen = now;
+        flow_record kept = std::move(record);
+        flows_.insert_or_assign(packet.flow, std::move(kept));
+    }
+    return decision;
+}
+
+token_decision token_router::continue_flow(const token_packet& packet,
+                                           time_point now)
+{
+    auto found = flows_.find(packet.flow);
+    if (found == flows_.end())
+    {
+        if (packet.token == 0)
+        {
+            return drop(token_drop::no_token);
+        }
+        const auto* upstream = pool_.find_token(packet.token);
+        if (upstream == nullptr)
+        {
+            return drop(token_drop::unknown_token);
+        }
+        ++counters_.by_token;
+        return forward_packet{upstream->record.id, upstream->record.address,
+                              upstream->token, forward_reason::by_token};
+    }
+    auto& record = found->second;
+    record.seen = now;
+    if (record.phase == flow_phase::opening)
+    {
+        take_answer(packet, record);
+    }
+    const auto* upstream = pool_.find(record.upstream);
+    if (packet.fin || packet.rst)
+    {
+        release(record);
+        record.phase = flow_phase::ended;
+    }
+    ++counters_.by_flow;
+    return forward_packet{upstream->record.id, upstream->record.address,
+                          upstream->token, forward_reason::by_flow};
+}
+
+// The token tells which of several upstreams that got the SYN has answered.
+void token_router::take_answer(const token_packet& packet, flow_record& record)
+{
+    auto* placed = pool_.find(record.upstream);
+    auto* answered =
+        packet.token == 0 ? placed : pool_.find_token(packet.token);
+    if (answered == nullptr || answered == placed)
+    {
+        upstream_pool::note_answer(*placed, record.sent);
+        record.phase = flow_phase::open;
+        return;
+    }
+    std::erase(placed->unanswered, record.sent);
+    release(record);
+    record.upstream = answered->record.id;
+    record.counted = true;
+    ++answered->open;
+    record.phase = flow_phase::open;
+}
+
+void token_router::release(flow_record& record)
+{
+    if (!record.counted)
+    {
+        return;
+    }
+    record.counted = false;
+    auto* upstream = pool_.find(record.upstream);
+    if (upstream != nullptr && upstream->open > 0)
+    {
+        --upstream->open;
+    }
+}
+
+void token_router::sweep(time_point now)
+{
+    for (auto it = flows_.begin(); it != flows_.end();)
+    {
+        auto& record = it->second;
+        const auto silent = now - record.seen;
+        if (record.phase == flow_phase::opening &&
+            silent >= settings_.handshake_timeout)
+        {
+            give_up(record, now);
+            it = flows_.erase(it);
+            continue;
+        }
+        if (silent >= settings_.quiet_limit)
+        {
+            release(record);
+        }
+        const auto lifetime = record.phase == flow_phase::ended
+                                  ? settings_.quiet_limit
+                                  : settings_.flow_lifetime;
+        it = silent >= lifetime ? flows_.erase(it) : std::next(it);
+    }
+    pool_.expire(now);
+}
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/upstream_pool.cpp
@@ -0,0 +1,180 @@
+#include "coordination/upstream_pool.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace boragestand::coordination
+{
+
+namespace
+{
+
+// Costs of upstreams that are taken only if there is no better one.
+constexpr double suspect_cost = 1000.0;
+constexpr double avoided_cost = 10000.0;
+
+void erase_from(std::vector<std::uint64_t>& ids, std::uint64_t id)
+{
+    std::erase(ids, id);
+}
+
+} // namespace
+
+void upstream_pool::apply(const std::vector<registered_upstream>& records,
+                          bool whole, time_point now)
+{
+    std::set<std::uint64_t> present;
+    for (const auto& record : records)
+    {
+        present.insert(record.id);
+        take(record, now);
+    }
+    if (!whole)
+    {
+        return;
+    }
+    for (auto& [id, known] : members_)
+    {
+        if (!present.contains(id))
+        {
+            known.record.condition = upstream_condition::gone;
+        }
+    }
+}
+
+void upstream_pool::take(const registered_upstream& record, time_point now)
+{
+    auto& target = members_[record.id];
+    const auto token = token_of(record.id, record.incarnation);
+    const bool restarted = target.token != token;
+    if (restarted && target.token != 0)
+    {
+        by_token_.erase(target.token);
+        former_tokens_[target.token] = {record.id,
+                                        now + settings_.former_token_lifetime};
+        target = {};
+    }
+    if (target.record.service != record.service)
+    {
+        erase_from(by_service_[target.record.service], record.id);
+        by_service_[record.service].push_back(record.id);
+    }
+    target.record = record;
+    target.token = token;
+    target.remote = hash_text(record.data_centre) != settings_.data_centre;
+    target.warm_at = now + std::chrono::milliseconds(record.warmup_left_ms);
+    const auto [holder, added] = by_token_.emplace(token, record.id);
+    target.token_taken = !added && holder->second != record.id;
+}
+
+upstream_pool::member* upstream_pool::find(std::uint64_t id)
+{
+    const auto found = members_.find(id);
+    return found == members_.end() ? nullptr : &found->second;
+}
+
+upstream_pool::member* upstream_pool::find_token(routing_token token)
+{
+    if (const auto found = by_token_.find(token); found != by_token_.end())
+    {
+        return find(found->second);
+    }
+    const auto former = former_tokens_.find(token);
+    return former == former_tokens_.end() ? nullptr
+                                          : find(former->second.upstream);
+}
+
+double upstream_pool::cost(const member& candidate, time_point now) const
+{
+    double total = candidate.open;
+    total += candidate.remote ? settings_.remote_penalty : 0.0;
+    total += now < candidate.warm_at ? settings_.cold_penalty : 0.0;
+    const bool silent =
+        !candidate.unanswered.empty() &&
+        now - candidate.unanswered.front() > settings_.handshake_limit;
+    if (silent || now < candidate.suspended_until)
+    {
+        total += suspect_cost;
+    }
+    return total;
+}
+
+upstream_pool::member* upstream_pool::choose(
+    const std::string& service, const std::vector<std::uint64_t>& avoided,
+    std::uint64_t flow_hash, time_point now, std::uint32_t& candidates)
+{
+    candidates = 0;
+    const auto ids = by_service_.find(service);
+    if (ids == by_service_.end())
+    {
+        return nullptr;
+    }
+    member* best = nullptr;
+    double best_cost = 0.0;
+    std::uint64_t best_score = 0;
+    for (const auto id : ids->second)
+    {
+        auto& candidate = members_.at(id);
+        if (candidate.record.condition != upstream_condition::ready ||
+            candidate.token_taken)
+        {
+            continue;
+        }
+        ++candidates;
+        const bool avoid =
+            std::find(avoided.begin(), avoided.end(), id) != avoided.end();
+        const double total = cost(candidate, now) + (avoid ? avoided_cost : 0);
+        const auto score = mix_hashes(flow_hash, id);
+        if (best == nullptr || total < best_cost ||
+            (total == best_cost && score > best_score))
+        {
+            best = &candidate;
+            best_cost = total;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+void upstream_pool::note_syn(member& target, time_point now)
+{
+    target.unanswered.push_back(now);
+    ++target.open;
+}
+
+void upstream_pool::note_answer(member& target, time_point sent)
+{
+    const auto found =
+        std::find(target.unanswered.begin(), target.unanswered.end(), sent);
+    if (found != target.unanswered.end())
+    {
+        target.unanswered.erase(found);
+    }
+    target.failures = 0;
+    target.suspended_until = {};
+}
+
+void upstream_pool::note_silence(member& target, time_point sent,
+                                 time_point now)
+{
+    const auto found =
+        std::find(target.unanswered.begin(), target.unanswered.end(), sent);
+    if (found == target.unanswered.end())
+    {
+        return;
+    }
+    target.unanswered.erase(found);
+    const auto doublings = std::min<std::uint32_t>(target.failures, 8);
+    ++target.failures;
+    const auto pause = std::min(settings_.first_suspension * (1 << doublings),
+                                settings_.longest_suspension);
+    target.suspended_until = std::max(target.suspended_until, now + pause);
+}
+
+void upstream_pool::expire(time_point now)
+{
+    std::erase_if(former_tokens_,
+                  [now](const auto& each) { return now >= each.second.until; });
+}
+
+} // namespace boragestand::coordination
--- /dev/null
+++ b/src/coordination/upstream_pool.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "coordination/token_router_types.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace boragestand::coordination
+{
+
+/// The upstreams that a token_router knows, with the load and health of each as
+/// seen in the packets that pass here.
+class upstream_pool
+{
+public:
+    /// One upstream.
+    struct member
+    {
+        registered_upstream record;
+        routing_token token{0};
+        bool remote{false}; ///< in another data centre
+        bool token_taken{false};
+        time_point warm_at;
+        std::uint32_t open{0}; ///< flows from here that have not ended
+        /// When SYNs were sent that no packet has followed yet, oldest first.
+        std::deque<time_point> unanswered;
+        std::uint32_t failures{0}; ///< unanswered SYNs in a row
+        time_point suspended_until;
+    };
+
+    explicit upstream_pool(const token_router_settings& settings)
+        : settings_(settings)
+    {
+    }
+
+    /// Takes records; with whole set, upstreams that are not among them are
+    /// gone.
+    void apply(const std::vector<registered_upstream>& records, bool whole,
+               time_point now);
+
+    /// The upstream that a token names, or null.
+    member* find_token(routing_token token);
+
+    /// The upstream with this identity, or null.
+    member* find(std::uint64_t id);
+
+    /// The best upstream of a service for a new flow, or null. Those in avoided
+    /// are taken only if there is no other. candidates counts the choices.
+    member* choose(const std::string& service,
+                   const std::vector<std::uint64_t>& avoided,
+                   std::uint64_t flow_hash, time_point now,
+                   std::uint32_t& candidates);
+
+    /// A SYN was sent.
+    static void note_syn(member& target, time_point now);
+
+    /// A packet followed a SYN that was sent at this time: it was answered.
+    static void note_answer(member& target, time_point sent);
+
+    /// A SYN that was sent at this time was not answered.
+    void note_silence(member& target, time_point sent, time_point now);
+
+    /// Forgets former tokens and upstreams that are gone.
+    void expire(time_point now);
+
+    std::size_t size() const { return members_.size(); }
+
+private:
+    struct former_token
+    {
+        std::uint64_t upstream{0};
+        time_point until;
+    };
+
+    void take(const registered_upstream& record, time_point now);
+    double cost(const member& candidate, time_point now) const;
+
+    token_router_settings settings_;
+    std::map<std::uint64_t, member> members_;
+    std::map<std::string, std::vector<std::uint64_t>> by_service_;
+    std::unordered_map<routing_token, std::uint64_t> by_token_;
+    std::unordered_map<routing_token, former_token> former_tokens_;
+};
+
+} // namespace boragestand::coordination
--- a/src/boragestand-control/peer_link.cpp
+++ b/src/replica/peer_link.cpp
@@ -1,6 +1,6 @@
-#include "peer_link.hpp"
+#include "replica/peer_link.hpp"
 
-namespace boragestand::control
+namespace boragestand::replica
 {
 
 namespace
@@ -56,4 +56,4 @@
                                      std::move(callback));
 }
 
-} // namespace boragestand::control
+} // namespace boragestand::replica
--- a/src/boragestand-control/peer_link.hpp
+++ b/src/replica/peer_link.hpp
@@ -6,7 +6,7 @@
 #include <map>
 #include <memory>
 
-namespace boragestand::control
+namespace boragestand::replica
 {
 
 /// Sends messages to other control instances, one HTTP/2 connection to each.
@@ -38,4 +38,4 @@
     std::map<transport::endpoint, peer> peers_;
 };
 
-} // namespace boragestand::control
+} // namespace boragestand::replica
--- a/src/boragestand-control/replica_disk.cpp
+++ b/src/replica/replica_disk.cpp
@@ -1,6 +1,6 @@
-#include "replica_disk.hpp"
+#include "replica/replica_disk.hpp"
 
-namespace boragestand::control
+namespace boragestand::replica
 {
 
 result<std::unique_ptr<replica_disk>>
@@ -105,4 +105,4 @@
     return log_->append(effect.entries);
 }
 
-} // namespace boragestand::control
+} // namespace boragestand::replica
--- a/src/boragestand-control/replica_disk.hpp
+++ b/src/replica/replica_disk.hpp
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string>
 
-namespace boragestand::control
+namespace boragestand::replica
 {
 
 /// The data directory of a control instance: identity, hard state, snapshot and
@@ -61,4 +61,4 @@
     state::disk_condition condition_{state::disk_condition::empty};
 };
 
-} // namespace boragestand::control
+} // namespace boragestand::replica
--- /dev/null
+++ b/src/replica/replica_log.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "coordination/coordination.hpp"
+
+namespace boragestand::replica
+{
+
+/// Receives what a replica reports for the log of its program.
+class replica_log
+{
+public:
+    virtual ~replica_log() = default;
+
+    /// The process runs with the identity on its disk.
+    virtual void started(replica_id self,
+                         const state::log_recovery& recovery) = 0;
+
+    /// The first group is known and durable.
+    virtual void founded(const protocol::replica_group& group) = 0;
+
+    /// Role, term or known leader changed.
+    virtual void role_changed(const coordination::role_changed& change) = 0;
+
+    /// A membership entry took effect.
+    virtual void group_changed(const protocol::log_entry& entry) = 0;
+
+    /// A snapshot was taken or came from the leader.
+    virtual void snapshot_stored(const protocol::agreement_snapshot& snapshot,
+                                 bool installed) = 0;
+
+    /// The replica cannot go on.
+    virtual void failed(const error& cause) = 0;
+};
+
+} // namespace boragestand::replica
--- /dev/null
+++ b/src/replica/replica_runner.cpp
@@ -0,0 +1,246 @@
+#include "replica/replica_runner.hpp"
+
+#include <utility>
+
+namespace boragestand::replica
+{
+
+namespace
+{
+
+// Heartbeats are sent four times as rarely; a finer tick only costs wake-ups.
+constexpr int ticks_per_heartbeat = 4;
+
+} // namespace
+
+replica_runner::replica_runner(std::unique_ptr<replica_disk> disk,
+                               const transport::endpoint& address,
+                               std::uint64_t seed, const parts& surroundings,
+                               const coordination::agreement_settings& settings,
+                               std::function<void(const error&)> failed)
+    : disk_(std::move(disk))
+    , address_(address)
+    , seed_(seed)
+    , parts_(surroundings)
+    , settings_(settings)
+    , report_failure_(std::move(failed))
+{
+}
+
+result<void> replica_runner::start()
+{
+    auto start = disk_->start(address_, seed_);
+    const auto restored = start.snapshot
+                              ? parts_.machine.restore(start.snapshot->data)
+                              : result<void>{};
+    if (!restored)
+    {
+        return restored;
+    }
+    node_ = std::make_unique<coordination::agreement_node>(std::move(start),
+                                                           settings_);
+    parts_.log.started(disk_->self(), disk_->recovery());
+    ticks_ = parts_.timers.every(
+        settings_.heartbeat_interval / ticks_per_heartbeat,
+        [this](time_point) { step(coordination::clock_tick{}); });
+    return {};
+}
+
+void replica_runner::found(const protocol::replica_group& founders)
+{
+    const auto outcome = disk_->save_founders(founders).and_then(
+        [&]
+        {
+            parts_.log.founded(founders);
+            return start();
+        });
+    if (!outcome)
+    {
+        stop_for(outcome.error());
+    }
+}
+
+void replica_runner::stop_for(const error& cause)
+{
+    failed_ = true;
+    parts_.log.failed(cause);
+    report_failure_(cause);
+}
+
+bool replica_runner::is_leader() const
+{
+    return node_->role() == coordination::agreement_role::leader;
+}
+
+std::optional<transport::endpoint> replica_runner::leader_address() const
+{
+    const auto* leader = node_->group().find(node_->leader());
+    return leader == nullptr ? std::nullopt : std::optional(leader->address);
+}
+
+void replica_runner::receive(const protocol::agreement_envelope& envelope)
+{
+    step(coordination::message_received{envelope});
+}
+
+void replica_runner::submit(std::string command, index_callback callback)
+{
+    const auto token = next_token_++;
+    commands_.emplace(token, std::move(callback));
+    step(coordination::proposal{token, std::move(command)});
+}
+
+void replica_runner::change(const coordination::membership_change& change,
+                            index_callback callback)
+{
+    const auto token = next_token_++;
+    indexes_.emplace(token, std::move(callback));
+    step(coordination::membership_proposal{token, change});
+}
+
+void replica_runner::read(index_callback callback)
+{
+    const auto token = next_token_++;
+    indexes_.emplace(token, std::move(callback));
+    step(coordination::read_request{token});
+}
+
+void replica_runner::defer(std::function<void()> callback)
+{
+    answers_.push_back(std::move(callback));
+}
+
+void replica_runner::hand_over()
+{
+    step(coordination::hand_over_leadership{});
+}
+
+void replica_runner::step(decltype(coordination::agreement_event::input) input)
+{
+    if (failed_)
+    {
+        return;
+    }
+    carry_out(node_->step({parts_.timers.now(), std::move(input)}));
+    if (!failed_ && wanted_snapshot_)
+    {
+        const coordination::snapshot_taken taken{
+            *std::exchange(wanted_snapshot_, std::nullopt),
+            parts_.machine.snapshot()};
+        carry_out(node_->step({parts_.timers.now(), taken}));
+    }
+    finish_step();
+}
+
+void replica_runner::carry_out(const coordination::agreement_effects& effects)
+{
+    for (const auto& effect : effects)
+    {
+        const auto outcome = std::visit(
+            [this](const auto& value) { return run(value); }, effect);
+        if (!outcome)
+        {
+            // What follows, such as messages, may rely on this effect.
+            stop_for(outcome.error());
+            return;
+        }
+    }
+}
+
+// Answers run last: they may submit again.
+void replica_runner::finish_step()
+{
+    if (!failed_)
+    {
+        parts_.machine.finish_step();
+    }
+    for (const auto& answer : std::exchange(answers_, {}))
+    {
+        answer();
+    }
+}
+
+result<void> replica_runner::run(const coordination::persist_hard_state& effect)
+{
+    return disk_->carry_out(effect);
+}
+
+result<void> replica_runner::run(const coordination::persist_snapshot& effect)
+{
+    return disk_->carry_out(effect).map(
+        [&]
+        { parts_.log.snapshot_stored(*effect.snapshot, effect.installed); });
+}
+
+result<void> replica_runner::run(const coordination::persist_entries& effect)
+{
+    return disk_->carry_out(effect);
+}
+
+result<void> replica_runner::run(const coordination::send_message& effect)
+{
+    parts_.peers.send(effect);
+    return {};
+}
+
+result<void> replica_runner::run(const coordination::restore_snapshot& effect)
+{
+    return parts_.machine.restore(effect.snapshot->data);
+}
+
+result<void> replica_runner::run(const coordination::apply_entry& effect)
+{
+    if (effect.entry.kind == protocol::entry_kind::membership)
+    {
+        parts_.log.group_changed(effect.entry);
+    }
+    return effect.entry.kind == protocol::entry_kind::command
+               ? parts_.machine.apply(effect.entry)
+               : result<void>{};
+}
+
+result<void> replica_runner::run(const coordination::proposal_done& effect)
+{
+    answer(effect.token, effect.index);
+    return {};
+}
+
+result<void> replica_runner::run(const coordination::read_done& effect)
+{
+    answer(effect.token, effect.index);
+    return {};
+}
+
+void replica_runner::answer(std::uint64_t token,
+                            const result<std::uint64_t>& index)
+{
+    if (auto waiting = commands_.extract(token))
+    {
+        waiting.mapped()(index);
+        return;
+    }
+    if (auto waiting = indexes_.extract(token))
+    {
+        defer([callback = std::move(waiting.mapped()), index]
+              { callback(index); });
+    }
+}
+
+result<void> replica_runner::run(const coordination::snapshot_wanted& effect)
+{
+    wanted_snapshot_ = effect.index;
+    return {};
+}
+
+result<void> replica_runner::run(const coordination::role_changed& effect)
+{
+    parts_.log.role_changed(effect);
+    return {};
+}
+
+result<void> replica_runner::run(const coordination::invariant_broken& effect)
+{
+    return failure(error_kind::internal, effect.what);
+}
+
+} // namespace boragestand::replica
--- /dev/null
+++ b/src/replica/replica_runner.hpp
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "replica/peer_link.hpp"
+#include "replica/replica_disk.hpp"
+#include "replica/replica_log.hpp"
+#include "replica/state_machine.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace boragestand::replica
+{
+
+/// Runs the agreement_node of an instance: carries its effects out on disk,
+/// network and state machine, and answers those who asked.
+class replica_runner
+{
+public:
+    using index_callback = std::function<void(result<std::uint64_t>)>;
+
+    /// What the replica works with; all but the disk must outlive it.
+    struct parts
+    {
+        transport::timer_service& timers;
+        peer_link& peers;
+        state_machine& machine;
+        replica_log& log;
+    };
+
+    /// failed is called when the process must stop: a disk failed or an
+    /// invariant is broken.
+    replica_runner(std::unique_ptr<replica_disk> disk,
+                   const transport::endpoint& address, std::uint64_t seed,
+                   const parts& surroundings,
+                   const coordination::agreement_settings& settings,
+                   std::function<void(const error&)> failed);
+
+    /// Restores the state machine from the disk and starts the replica.
+    result<void> start();
+
+    /// Makes the first group durable and goes on as one of its members. The
+    /// process stops if that fails.
+    void found(const protocol::replica_group& founders);
+
+    /// Takes a message of another control instance.
+    void receive(const protocol::agreement_envelope& envelope);
+
+    /// Replicates a command. The callback gets its index right after the state
+    /// machine has applied it, while the step still runs: it may only read the
+    /// state machine and defer().
+    void submit(std::string command, index_callback callback);
+
+    /// Changes the members of the group.
+    void change(const coordination::membership_change& change,
+                index_callback callback);
+
+    /// Calls back once the state holds everything that was answered before.
+    void read(index_callback callback);
+
+    /// Runs the callback at the end of the current step.
+    void defer(std::function<void()> callback);
+
+    /// Hands leadership over, if this instance leads.
+    void hand_over();
+
+    const coordination::agreement_node& node() const { return *node_; }
+    bool is_leader() const;
+
+    /// Address of the leader, if known.
+    std::optional<transport::endpoint> leader_address() const;
+
+    /// Whether requests wait for the group.
+    bool has_open_requests() const
+    {
+        return !commands_.empty() || !indexes_.empty();
+    }
+
+private:
+    void step(decltype(coordination::agreement_event::input) input);
+    void carry_out(const coordination::agreement_effects& effects);
+    result<void> run(const coordination::persist_hard_state& effect);
+    result<void> run(const coordination::persist_snapshot& effect);
+    result<void> run(const coordination::persist_entries& effect);
+    result<void> run(const coordination::send_message& effect);
+    result<void> run(const coordination::restore_snapshot& effect);
+    result<void> run(const coordination::apply_entry& effect);
+    result<void> run(const coordination::proposal_done& effect);
+    result<void> run(const coordination::read_done& effect);
+    result<void> run(const coordination::snapshot_wanted& effect);
+    result<void> run(const coordination::role_changed& effect);
+    result<void> run(const coordination::invariant_broken& effect);
+    void finish_step();
+    void stop_for(const error& cause);
+    void answer(std::uint64_t token, const result<std::uint64_t>& index);
+
+    std::unique_ptr<replica_disk> disk_;
+    transport::endpoint address_;
+    std::uint64_t seed_;
+    parts parts_;
+    coordination::agreement_settings settings_;
+    std::function<void(const error&)> report_failure_;
+    std::unique_ptr<coordination::agreement_node> node_;
+    transport::subscription ticks_;
+
+    std::uint64_t next_token_{1};
+    std::map<std::uint64_t, index_callback> commands_;
+    std::map<std::uint64_t, index_callback> indexes_;
+    std::optional<std::uint64_t> wanted_snapshot_;
+    std::vector<std::function<void()>> answers_;
+    bool failed_{false};
+};
+
+} // namespace boragestand::replica
--- a/src/state/state.hpp
+++ b/src/state/state.hpp
@@ -18,4 +18,5 @@
 #include "state/note_application.hpp"
 #include "state/pin_table.hpp"
 #include "state/release_note.hpp"
+#include "state/routing_plan.hpp"
 #include "state/snapshot_store.hpp"
--- /dev/null
+++ b/src/transport/http1_connection.cpp
@@ -0,0 +1,312 @@
+#include "transport/http1_connection.hpp"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <cerrno>
+#include <optional>
+#include <utility>
+
+namespace boragestand::transport
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+
+constexpr std::size_t read_size = 16 * 1024;
+
+// Bytes of later requests that are kept while one is answered.
+constexpr std::size_t max_pipelined = 64 * 1024;
+
+std::string lower(boost::beast::string_view text)
+{
+    std::string lowered(text.data(), text.size());
+    std::transform(lowered.begin(), lowered.end(), lowered.begin(),
+                   [](unsigned char letter)
+                   { return static_cast<char>(std::tolower(letter)); });
+    return lowered;
+}
+
+int status_of(const boost::system::error_code& fault)
+{
+    if (fault == http::error::body_limit)
+    {
+        return 413;
+    }
+    return fault == http::error::header_limit ? 431 : 400;
+}
+
+} // namespace
+
+struct http1_connection::parser
+{
+    std::optional<http::request_parser<http::string_body>> current;
+
+    void restart(const http1_limits& limits)
+    {
+        current.emplace();
+        current->body_limit(limits.max_body);
+        current->header_limit(limits.max_header);
+        current->eager(true);
+    }
+};
+
+http1_connection::http1_connection(main_loop& loop, timer_service& timers,
+                                   unique_fd fd, const endpoint& peer,
+                                   const http1_limits& limits,
+                                   http1_counters& counters, callbacks reports)
+    : loop_(loop)
+    , timers_(timers)
+    , fd_(std::move(fd))
+    , peer_(peer)
+    , limits_(limits)
+    , counters_(counters)
+    , callbacks_(std::move(reports))
+    , parser_(std::make_unique<parser>())
+    , last_active_(timers.now())
+{
+    parser_->restart(limits_);
+}
+
+http1_connection::~http1_connection() = default;
+
+void http1_connection::open()
+{
+    watch(readiness::readable);
+}
+
+void http1_connection::close()
+{
+    if (!fd_)
+    {
+        return;
+    }
+    watch_.cancel();
+    fd_ = unique_fd();
+    callbacks_.closed(this);
+}
+
+void http1_connection::watch(readiness wanted)
+{
+    if (wanted == watched_)
+    {
+        return;
+    }
+    watched_ = wanted;
+    watch_ = loop_.watch(fd_.value(), wanted,
+                         [weak = weak_from_this()](readiness ready)
+                         {
+                             if (const auto self = weak.lock())
+                             {
+                                 self->handle_ready(ready);
+                             }
+                         });
+}
+
+void http1_connection::handle_ready(readiness ready)
+{
+    const auto has = [ready](readiness bit)
+    {
+        return (static_cast<unsigned>(ready) & static_cast<unsigned>(bit)) != 0;
+    };
+    if (has(readiness::writable))
+    {
+        flush();
+    }
+    if (fd_ && has(readiness::readable) && receive())
+    {
+        parse();
+    }
+}
+
+bool http1_connection::receive()
+{
+    std::array<char, read_size> buffer;
+    while (true)
+    {
+        const auto count = ::recv(fd_.value(), buffer.data(), buffer.size(), 0);
+        if (count > 0)
+        {
+            input_.append(buffer.data(), static_cast<std::size_t>(count));
+            last_active_ = timers_.now();
+            if (answering_ && input_.size() > max_pipelined)
+            {
+                close();
+                return false;
+            }
+            if (static_cast<std::size_t>(count) < buffer.size())
+            {
+                return true;
+            }
+            continue;
+        }
+        if (count < 0 && errno == EINTR)
+        {
+            continue;
+        }
+        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        {
+            return true;
+        }
+        close();
+        return false;
+    }
+}
+
+void http1_connection::parse()
+{
+    while (fd_ && !answering_ && !closing_ && !input_.empty())
+    {
+        boost::system::error_code fault;
+        const auto used = parser_->current->put(
+            boost::asio::buffer(input_.data(), input_.size()), fault);
+        input_.erase(0, used);
+        if (fault == http::error::need_more)
+        {
+            fault = {};
+        }
+        if (fault)
+        {
+            ++counters_.malformed;
+            refuse(status_of(fault), fault.message());
+            return;
+        }
+        if (parser_->current->is_done())
+        {
+            dispatch();
+            continue;
+        }
+        if (used == 0)
+        {
+            return;
+        }
+    }
+}
+
+void http1_connection::dispatch()
+{
+    auto message = parser_->current->release();
+    parser_->restart(limits_);
+    ++counters_.requests;
+    http_request request;
+    request.method = std::string(message.method_string());
+    request.path = std::string(message.target());
+    request.body = std::move(message.body());
+    for (const auto& field : message)
+    {
+        request.headers[lower(field.name_string())] =
+            std::string(field.value());
+    }
+    keep_alive_ = message.keep_alive();
+    answering_ = true;
+    const auto number = ++request_;
+    callbacks_.handle(
+        std::move(request), peer_,
+        [weak = weak_from_this(), number](const http_response& response)
+        {
+            if (const auto self = weak.lock())
+            {
+                self->respond(number, response);
+            }
+        });
+}
+
+void http1_connection::refuse(int status, const std::string& message)
+{
+    keep_alive_ = false;
+    send({.status = status, .headers = {}, .body = message});
+}
+
+void http1_connection::respond(std::uint64_t request,
+                               const http_response& response)
+{
+    if (!fd_ || !answering_ || request != request_)
+    {
+        return;
+    }
+    answering_ = false;
+    last_active_ = timers_.now();
+    send(response);
+    if (fd_ && !closing_ && !input_.empty())
+    {
+        loop_.post(
+            [weak = weak_from_this()]
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->parse();
+                }
+            });
+    }
+}
+
+void http1_connection::send(const http_response& response)
+{
+    const auto reason =
+        http::obsolete_reason(static_cast<http::status>(response.status));
+    std::string text = "HTTP/1.1 " + std::to_string(response.status) + ' ' +
+                       std::string(reason) + "\r\n";
+    for (const auto& [name, value] : response.headers)
+    {
+        text += name + ": " + value + "\r\n";
+    }
+    text += "content-length: " + std::to_string(response.body.size()) + "\r\n";
+    if (!keep_alive_)
+    {
+        text += "connection: close\r\n";
+        closing_ = true;
+    }
+    unsent_ += text + "\r\n" + response.body;
+    flush();
+}
+
+void http1_connection::flush()
+{
+    std::size_t sent = 0;
+    while (sent < unsent_.size())
+    {
+        const auto count = ::send(fd_.value(), unsent_.data() + sent,
+                                  unsent_.size() - sent, MSG_NOSIGNAL);
+        if (count > 0)
+        {
+            sent += static_cast<std::size_t>(count);
+            continue;
+        }
+        if (errno == EINTR)
+        {
+            continue;
+        }
+        if (errno == EAGAIN || errno == EWOULDBLOCK)
+        {
+            break;
+        }
+        close();
+        return;
+    }
+    unsent_.erase(0, sent);
+    if (unsent_.empty() && closing_)
+    {
+        // The peer reads the response before it sees the end.
+        ::shutdown(fd_.value(), SHUT_WR);
+        loop_.post(
+            [weak = weak_from_this()]
+            {
+                if (const auto self = weak.lock())
+                {
+                    self->close();
+                }
+            });
+        return;
+    }
+    watch(unsent_.empty() ? readiness::readable : readiness::both);
+}
+
+} // namespace boragestand::transport
--- /dev/null
+++ b/src/transport/http1_server.cpp
@@ -0,0 +1,174 @@
+#include "transport/http1_server.hpp"
+
+#include "transport/http1_connection.hpp"
+#include "transport/tcp_listener.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace boragestand::transport
+{
+
+namespace
+{
+
+// Idle connections are looked for this often while there are connections.
+constexpr duration sweep_interval = std::chrono::seconds(2);
+
+} // namespace
+
+struct http1_server::implementation
+    : std::enable_shared_from_this<implementation>
+{
+    using connection = std::shared_ptr<http1_connection>;
+
+    main_loop& loop;
+    timer_service& timers;
+    tcp_listener listener;
+    http1_limits limits;
+    handler handle;
+    http1_counters counters;
+    std::vector<connection> connections;
+    subscription sweep;
+
+    implementation(main_loop& owner, timer_service& clock, tcp_listener opened,
+                   const http1_limits& bounds, handler on_request)
+        : loop(owner)
+        , timers(clock)
+        , listener(std::move(opened))
+        , limits(bounds)
+        , handle(std::move(on_request))
+    {
+    }
+
+    void start()
+    {
+        listener.start([this](unique_fd fd, const endpoint& peer)
+                       { add(std::move(fd), peer); });
+    }
+
+    void add(unique_fd fd, const endpoint& peer)
+    {
+        if (connections.size() >= limits.max_connections && !close_idle())
+        {
+            return;
+        }
+        ++counters.accepted;
+        auto added = std::make_shared<http1_connection>(
+            loop, timers, std::move(fd), peer, limits, counters,
+            http1_connection::callbacks{
+                [this](http_request request, const endpoint& from,
+                       responder respond)
+                { handle(std::move(request), from, std::move(respond)); },
+                [weak = weak_from_this()](http1_connection* closed)
+                {
+                    if (const auto self = weak.lock())
+                    {
+                        self->remove(closed);
+                    }
+                }});
+        if (connections.empty())
+        {
+            sweep = timers.every(sweep_interval, [this](time_point now)
+                                 { close_overdue(now); });
+        }
+        connections.push_back(added);
+        added->open();
+    }
+
+    bool close_idle()
+    {
+        connection oldest;
+        for (const auto& each : connections)
+        {
+            const bool older =
+                !oldest || each->last_active() < oldest->last_active();
+            oldest = !each->is_busy() && older ? each : oldest;
+        }
+        if (oldest)
+        {
+            oldest->close();
+        }
+        return oldest != nullptr;
+    }
+
+    void close_overdue(time_point now)
+    {
+        const auto all = connections;
+        for (const auto& each : all)
+        {
+            if (!each->is_busy() &&
+                now - each->last_active() >= limits.idle_timeout)
+            {
+                ++counters.timeouts;
+                each->close();
+            }
+        }
+        if (connections.empty())
+        {
+            sweep.cancel();
+        }
+    }
+
+    void remove(http1_connection* closed)
+    {
+        std::erase_if(connections, [closed](const connection& each)
+                      { return each.get() == closed; });
+    }
+};
+
+http1_server::http1_server(std::shared_ptr<implementation> state)
+    : implementation_(std::move(state))
+{
+}
+
+result<std::unique_ptr<http1_server>>
+http1_server::listen(main_loop& loop, timer_service& timers,
+                     const endpoint& local, const http1_limits& limits,
+                     handler handle)
+{
+    auto listener = tcp_listener::open(loop, local);
+    if (!listener)
+    {
+        return tl::unexpected<error>(listener.error());
+    }
+    auto state = std::make_shared<implementation>(
+        loop, timers, std::move(*listener), limits, std::move(handle));
+    state->start();
+    return std::unique_ptr<http1_server>(new http1_server(std::move(state)));
+}
+
+http1_server::~http1_server()
+{
+    const auto all = implementation_->connections;
+    for (const auto& each : all)
+    {
+        each->close();
+    }
+}
+
+endpoint http1_server::local_endpoint() const
+{
+    return implementation_->listener.local_endpoint();
+}
+
+void http1_server::stop_accepting()
+{
+    implementation_->listener.close();
+}
+
+std::size_t http1_server::open_requests() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(implementation_->connections.begin(),
+                      implementation_->connections.end(),
+                      [](const auto& each) { return each->is_busy(); }));
+}
+
+const http1_counters& http1_server::counters() const
+{
+    return implementation_->counters;
+}
+
+} // namespace boragestand::transport
--- a/src/transport/http2_server.cpp
+++ b/src/transport/http2_server.cpp
@@ -1,12 +1,8 @@
 #include "transport/http2_server.hpp"
 
 #include "transport/http2_server_connection.hpp"
+#include "transport/tcp_listener.hpp"
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
-#include <cerrno>
-#include <cstring>
 #include <utility>
 #include <vector>
 
@@ -20,97 +16,27 @@
 // descriptors of the process.
 constexpr std::size_t max_connections = 1024;
 
-// Pause of accept() when the process has no descriptor left; without it the
-// listening descriptor would stay ready and keep the loop busy.
-constexpr duration accept_pause = std::chrono::milliseconds(100);
-
-result<unique_fd> open_listener(const endpoint& local)
-{
-    unique_fd fd(
-        ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-    const int enabled = 1;
-    ::setsockopt(fd.value(), SOL_SOCKET, SO_REUSEADDR, &enabled,
-                 sizeof enabled);
-    const sockaddr_in address = to_sockaddr(local);
-    if (!fd ||
-        ::bind(fd.value(), reinterpret_cast<const sockaddr*>(&address),
-               sizeof address) != 0 ||
-        ::listen(fd.value(), SOMAXCONN) != 0)
-    {
-        return failure(error_kind::unavailable,
-                       "HTTP endpoint " + to_string(local) +
-                           " cannot be bound: " + std::strerror(errno));
-    }
-    return fd;
-}
-
-endpoint bound_endpoint(int fd)
-{
-    sockaddr_in address{};
-    socklen_t size = sizeof address;
-    ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-    return from_sockaddr(address);
-}
-
 } // namespace
 
 struct http2_server::implementation
 {
     main_loop& loop;
-    unique_fd listener;
+    tcp_listener listener;
     handler handle;
-    subscription watch;
-    subscription pause;
     std::vector<std::shared_ptr<http2_server_connection>> connections;
-    endpoint local;
     bool stopping{false};
 
-    implementation(main_loop& owner, unique_fd fd, handler on_request)
+    implementation(main_loop& owner, tcp_listener opened, handler on_request)
         : loop(owner)
-        , listener(std::move(fd))
+        , listener(std::move(opened))
         , handle(std::move(on_request))
-        , local(bound_endpoint(listener.value()))
     {
     }
 
-    void watch_listener()
-    {
-        watch = loop.watch(listener.value(), readiness::readable,
-                           [this](readiness) { accept_waiting(); });
-    }
-
-    void accept_waiting()
-    {
-        while (true)
-        {
-            sockaddr_in address{};
-            socklen_t size = sizeof address;
-            unique_fd fd(::accept4(listener.value(),
-                                   reinterpret_cast<sockaddr*>(&address), &size,
-                                   SOCK_NONBLOCK | SOCK_CLOEXEC));
-            if (fd)
-            {
-                add_connection(std::move(fd), from_sockaddr(address));
-                continue;
-            }
-            if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
-                errno == ENOMEM)
-            {
-                pause_accepting();
-                return;
-            }
-            if (errno != EINTR && errno != ECONNABORTED)
-            {
-                return;
-            }
-        }
-    }
-
-    void pause_accepting()
+    void start()
     {
-        watch.cancel();
-        pause =
-            loop.schedule(accept_pause, false, [this] { watch_listener(); });
+        listener.start([this](unique_fd fd, const endpoint& peer)
+                       { add_connection(std::move(fd), peer); });
     }
 
     void add_connection(unique_fd fd, const endpoint& peer)
@@ -119,11 +45,6 @@
         {
             return;
         }
-        const int enabled = 1;
-        ::setsockopt(fd.value(), IPPROTO_TCP, TCP_NODELAY, &enabled,
-                     sizeof enabled);
-        ::setsockopt(fd.value(), SOL_SOCKET, SO_KEEPALIVE, &enabled,
-                     sizeof enabled);
         auto connection = std::make_shared<http2_server_connection>(
             loop, std::move(fd), peer,
             http2_server_connection::server_callbacks{
@@ -153,14 +74,14 @@
 result<std::unique_ptr<http2_server>>
 http2_server::listen(main_loop& loop, const endpoint& local, handler handle)
 {
-    auto listener = open_listener(local);
+    auto listener = tcp_listener::open(loop, local);
     if (!listener)
     {
         return tl::unexpected<error>(listener.error());
     }
     auto state = std::make_unique<implementation>(loop, std::move(*listener),
                                                   std::move(handle));
-    state->watch_listener();
+    state->start();
     return std::unique_ptr<http2_server>(new http2_server(std::move(state)));
 }
 
@@ -175,7 +96,7 @@
 
 endpoint http2_server::local_endpoint() const
 {
-    return implementation_->local;
+    return implementation_->listener.local_endpoint();
 }
 
 void http2_server::stop_accepting()
@@ -184,9 +105,7 @@
     {
         return;
     }
-    implementation_->watch.cancel();
-    implementation_->pause.cancel();
-    implementation_->listener = unique_fd();
+    implementation_->listener.close();
     for (const auto& connection : std::vector(implementation_->connections))
     {
         connection->stop_accepting();
--- a/src/transport/transport.hpp
+++ b/src/transport/transport.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
 /// Public header of the transport library: main loop, timer service, UDP
-/// sockets and HTTP/2 connections. Nothing here knows the messages it carries.
+/// sockets, HTTP/2 connections and HTTP/1.1 servers. Nothing here knows the
+/// messages it carries.
 
 #include "transport/endpoint.hpp"
+#include "transport/http1_server.hpp"
 #include "transport/http2_client.hpp"
 #include "transport/http2_message.hpp"
 #include "transport/http2_server.hpp"
