--- a/src/boragestand-control/control_log.hpp
+++ b/src/boragestand-control/control_log.hpp
@@ -21,7 +21,7 @@
     void founded(const protocol::replica_group& group) override;
 
     /// The disk is new although the group knows this instance.
-    void disk_replaced(replica_id self, replica_id replaced);
+    void disk_replaced(replica_id self, replica_id replaced) override;
 
     /// Role, term or known leader changed.
     void role_changed(const coordination::role_changed& change) override;
@@ -39,11 +39,11 @@
                          bool installed) override;
 
     /// A request was answered with an error.
-    void request_failed(std::string_view path, const error& cause);
+    void request_failed(std::string_view path, const error& cause) override;
 
     /// Input that could not be used; at a bounded rate for each cause.
     void bad_input(std::string_view input, const error& cause,
-                   const transport::endpoint& source, time_point now);
+                   const transport::endpoint& source, time_point now) override;
 
     /// The director was asked, and whether it has acknowledged.
     void director_woken(std::string_view service, std::uint64_t episode,
--- a/src/boragestand-control/control_program.cpp
+++ b/src/boragestand-control/control_program.cpp
@@ -72,12 +72,12 @@
     {
         return tl::unexpected(identified.error());
     }
-    if (instance_of((*disk)->self()) != settings.instance.id)
+    if (replica::instance_of((*disk)->self()) != settings.instance.id)
     {
         return failure(error_kind::invalid_settings,
                        "data directory " + settings.data_directory +
                            " belongs to instance " +
-                           std::to_string(instance_of((*disk)->self())));
+                           std::to_string(replica::instance_of((*disk)->self())));
     }
     std::unique_ptr<control_program> program(new control_program(
         loop, timers, settings, *endpoints, std::move(*disk), log));
@@ -106,11 +106,13 @@
                 log_)
     , reports_(settings.entries)
     , commands_(host_, timers, log_)
-    , members_(host_, peers_, log_)
-    , founding_(settings.instance.id, endpoints.own, endpoints.founders, host_,
-                timers, peers_, log_)
-    , api_({host_, founding_, commands_, members_, streams_, reports_,
-            director_, timers, log_})
+    , members_(host_.runner(), peers_, log_)
+    , founding_(settings.instance.id, endpoints.own,
+                {.founders = endpoints.founders}, host_.runner(), timers,
+                peers_, log_)
+    , group_({host_.runner(), founding_, members_, timers, log_})
+    , api_({host_, group_, commands_, streams_, reports_, director_, timers,
+            log_})
     , omitted_lines_(timers.every(omitted_lines_interval, [&log](time_point now)
                                   { log.report_omitted(now); }))
 {
--- a/src/boragestand-control/control_program.hpp
+++ b/src/boragestand-control/control_program.hpp
@@ -30,7 +30,7 @@
     {
         transport::endpoint own;
         transport::endpoint director;
-        std::vector<group_founding::founder> founders;
+        std::vector<replica::group_founding::founder> founders;
     };
 
     control_program(transport::main_loop& loop,
@@ -55,8 +55,9 @@
     director_requests director_;
     entry_reports reports_;
     command_service commands_;
-    member_service members_;
-    group_founding founding_;
+    replica::member_service members_;
+    replica::group_founding founding_;
+    replica::group_api group_;
     http_api api_;
     std::unique_ptr<transport::http2_server> server_;
     transport::subscription omitted_lines_;
--- a/src/boragestand-control/http_api.cpp
+++ b/src/boragestand-control/http_api.cpp
@@ -66,6 +66,10 @@
         parts_.commands.handle(request, answer);
         return;
     }
+    if (parts_.group.handle(request, answer))
+    {
+        return;
+    }
     const bool known = request.method == "GET" ? handle_get(request, answer)
                                                : handle_post(request, answer);
     if (!known)
@@ -78,13 +82,6 @@
                           const exchange& answer)
 {
     const std::string_view path = request.path;
-    if (path == "/v1/identity")
-    {
-        answer->respond({.status = 200,
-                         .headers = {},
-                         .body = to_json(parts_.founding.status())});
-        return true;
-    }
     if (path == "/v1/status")
     {
         answer->respond({.status = 200, .headers = {}, .body = status()});
@@ -116,11 +113,6 @@
     {
         return false;
     }
-    if (request.path == "/v1/peer")
-    {
-        receive_peer(request, answer);
-        return true;
-    }
     if (request.path == "/v1/revisions")
     {
         report_revision(request, answer);
@@ -131,11 +123,6 @@
         request_director(request, answer);
         return true;
     }
-    if (request.path == "/v1/members")
-    {
-        parts_.members.handle(request, answer);
-        return true;
-    }
     if (request.path == "/v1/notes/check")
     {
         answer->respond(state::check_response(
@@ -145,21 +132,6 @@
     return false;
 }
 
-void http_api::receive_peer(const transport::http_request& request,
-                            const exchange& answer)
-{
-    const auto envelope = protocol::decode_agreement_message(request.body);
-    if (!envelope)
-    {
-        parts_.log.bad_input("peer", envelope.error(), answer->peer(),
-                             parts_.timers.now());
-        answer->respond(state::to_http(envelope.error()));
-        return;
-    }
-    answer->respond({.status = 204, .headers = {}, .body = {}});
-    parts_.host.receive(*envelope);
-}
-
 void http_api::report_revision(const transport::http_request& request,
                                const exchange& answer)
 {
@@ -249,7 +221,7 @@
     const auto& node = parts_.host.node();
     const auto configuration = parts_.host.state().current();
     state::control_status status;
-    status.instance = instance_id{instance_of(node.self())};
+    status.instance = instance_id{replica::instance_of(node.self())};
     status.role = role_of(node);
     status.term = node.term();
     if (const auto leader = parts_.host.leader_address())
@@ -262,7 +234,7 @@
     status.note_number = configuration->note_number;
     for (const auto& member : node.group().members)
     {
-        status.members.push_back({instance_id{instance_of(member.id)},
+        status.members.push_back({instance_id{replica::instance_of(member.id)},
                                   transport::to_string(member.address),
                                   member.voter});
     }
--- a/src/boragestand-control/http_api.hpp
+++ b/src/boragestand-control/http_api.hpp
@@ -4,8 +4,7 @@
 #include "configuration_streams.hpp"
 #include "director_requests.hpp"
 #include "entry_reports.hpp"
-#include "group_founding.hpp"
-#include "member_service.hpp"
+#include "replica/replica.hpp"
 
 namespace boragestand::control
 {
@@ -14,9 +13,8 @@
 struct api_parts
 {
     replica_host& host;
-    group_founding& founding;
+    replica::group_api& group;
     command_service& commands;
-    member_service& members;
     configuration_streams& streams;
     entry_reports& reports;
     director_requests& director;
@@ -44,8 +42,6 @@
                     const exchange& answer);
     bool handle_post(const transport::http_request& request,
                      const exchange& answer);
-    void receive_peer(const transport::http_request& request,
-                      const exchange& answer);
     void report_revision(const transport::http_request& request,
                          const exchange& answer);
     void request_director(const transport::http_request& request,
--- a/src/boragestand-control/replica_host.hpp
+++ b/src/boragestand-control/replica_host.hpp
@@ -53,6 +53,9 @@
     /// this instance has applied it.
     void submit(const state::command& command, command_callback callback);
 
+    /// The replica itself, for parts that need no typed commands.
+    replica::replica_runner& runner() { return runner_; }
+
     const state::control_state& state() const { return machine_.state(); }
 
 private:
--- a/src/coordination/agreement_events.hpp
+++ b/src/coordination/agreement_events.hpp
@@ -67,6 +67,15 @@
 /// Name of a role for logs.
 std::string_view to_text(agreement_role role);
 
+/// How long a member has not answered its leader.
+struct member_silence
+{
+    replica_id id;
+    duration silence{};
+
+    auto operator<=>(const member_silence&) const = default;
+};
+
 /// Time has passed; due about every heartbeat interval or more often.
 struct clock_tick
 {
--- a/src/coordination/agreement_leader.hpp
+++ b/src/coordination/agreement_leader.hpp
@@ -22,6 +22,12 @@
     /// Why this leader has to step down now; null if it may go on.
     const char* reason_to_step_down(time_point now) const;
 
+    /// How long each other member has not answered.
+    std::vector<member_silence> silences(time_point now) const
+    {
+        return progress_.silences(now);
+    }
+
     /// Takes the answer of a follower.
     void take(replica_id from, const protocol::append_reply& reply,
               time_point now);
--- a/src/coordination/agreement_node.cpp
+++ b/src/coordination/agreement_node.cpp
@@ -194,6 +194,17 @@
            now - *leader_heard_ < core_.settings().election_timeout;
 }
 
+bool agreement_node::is_in_contact(time_point now) const
+{
+    return leader_ ? leader_->reason_to_step_down(now) == nullptr
+                   : hears_leader(now);
+}
+
+std::vector<member_silence> agreement_node::silences(time_point now) const
+{
+    return leader_ ? leader_->silences(now) : std::vector<member_silence>{};
+}
+
 void agreement_node::receive(const protocol::agreement_envelope& envelope,
                              const protocol::vote_request& request,
                              time_point now)
--- a/src/coordination/agreement_node.hpp
+++ b/src/coordination/agreement_node.hpp
@@ -50,6 +50,13 @@
     /// from the snapshot.
     std::uint64_t last_group_index() const { return core_.log().group_index(); }
 
+    /// Whether a leader is known that was heard within the election timeout; a
+    /// leader gives up when it hears no majority for that long.
+    bool is_in_contact(time_point now) const;
+
+    /// Of a leader, how long each other member has not answered; else empty.
+    std::vector<member_silence> silences(time_point now) const;
+
     /// The group after the last committed entry.
     const protocol::replica_group& committed_group() const
     {
--- a/src/coordination/agreement_progress.cpp
+++ b/src/coordination/agreement_progress.cpp
@@ -106,4 +106,14 @@
     return best;
 }
 
+std::vector<member_silence> agreement_progress::silences(time_point now) const
+{
+    std::vector<member_silence> all;
+    for (const auto& [id, member] : members_)
+    {
+        all.push_back({id, now - member.last_contact});
+    }
+    return all;
+}
+
 } // namespace boragestand::coordination
--- a/src/coordination/agreement_progress.hpp
+++ b/src/coordination/agreement_progress.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/agreement_events.hpp"
 #include "coordination/agreement_snapshots.hpp"
 #include "protocol/protocol.hpp"
 
@@ -47,6 +48,9 @@
     time_point majority_contact(const protocol::replica_group& group,
                                 replica_id self, time_point now) const;
 
+    /// How long each member has not answered.
+    std::vector<member_silence> silences(time_point now) const;
+
     /// The voter other than self that holds most; 0 if there is none.
     replica_id most_advanced_voter(const protocol::replica_group& group) const;
 
--- a/src/coordination/coordination.hpp
+++ b/src/coordination/coordination.hpp
@@ -5,6 +5,7 @@
 /// with a time go in, effects come out.
 
 #include "coordination/agreement_events.hpp"
+#include "coordination/agreement_membership.hpp"
 #include "coordination/agreement_node.hpp"
 #include "coordination/directory_messages.hpp"
 #include "coordination/flow_events.hpp"
--- a/src/coordination/upstream_registry.cpp
+++ b/src/coordination/upstream_registry.cpp
@@ -237,6 +237,12 @@
     return lost;
 }
 
+std::uint64_t upstream_registry::changed_at(std::uint64_t id) const
+{
+    const auto found = records_.find(id);
+    return found == records_.end() ? 0 : found->second.changed_at;
+}
+
 std::vector<registered_upstream>
 upstream_registry::changes_since(std::uint64_t cursor, time_point now) const
 {
--- a/src/coordination/upstream_registry.hpp
+++ b/src/coordination/upstream_registry.hpp
@@ -107,6 +107,9 @@
     /// Counts every change of any record; never decreases.
     std::uint64_t cursor() const { return cursor_; }
 
+    /// The cursor of an upstream's last change; 0 if it is not known.
+    std::uint64_t changed_at(std::uint64_t id) const;
+
     /// Records that changed after a cursor, with their warm-up as of now.
     std::vector<registered_upstream> changes_since(std::uint64_t cursor,
                                                    time_point now) const;
--- /dev/null
+++ b/src/fleet/control_node.cpp
@@ -0,0 +1,488 @@
+#include "fleet/control_node.hpp"
+
+#include "fleet/fleet_times.hpp"
+#include "state/command_http.hpp"
+
+#include <algorithm>
+#include <filesystem>
+#include <random>
+#include <utility>
+
+namespace boragestand::fleet
+{
+
+namespace
+{
+
+constexpr duration tick_interval = std::chrono::milliseconds(250);
+
+std::uint64_t random_number()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32) | device() | 1U;
+}
+
+replica_id new_identity(std::uint32_t address)
+{
+    return replica_id{(std::uint64_t{address} << 32) |
+                      (random_number() & 0xffffffffU)};
+}
+
+std::vector<replica::group_founding::founder>
+founders_of(const std::vector<transport::endpoint>& seeds)
+{
+    std::vector<replica::group_founding::founder> founders;
+    for (const auto& seed : seeds)
+    {
+        founders.push_back({seed.address, seed});
+    }
+    return founders;
+}
+
+} // namespace
+
+result<std::unique_ptr<control_node>>
+control_node::open(transport::main_loop& loop, transport::timer_service& timers,
+                   const control_node_settings& settings, fleet_log& log,
+                   std::function<void(std::optional<error>)> stop)
+{
+    auto disk = replica::replica_disk::open(settings.data_directory);
+    if (!disk)
+    {
+        return tl::unexpected(disk.error());
+    }
+    if ((*disk)->is_empty())
+    {
+        const auto created =
+            (*disk)->create(new_identity(settings.address.address));
+        if (!created)
+        {
+            return tl::unexpected(created.error());
+        }
+    }
+    std::unique_ptr<control_node> node(
+        new control_node(loop, timers, settings, log, std::move(stop),
+                         std::move(*disk)));
+    return node->start().map([&] { return std::move(node); });
+}
+
+control_node::control_node(transport::main_loop& loop,
+                           transport::timer_service& timers,
+                           const control_node_settings& settings,
+                           fleet_log& log,
+                           std::function<void(std::optional<error>)> stop,
+                           std::unique_ptr<replica::replica_disk> disk)
+    : loop_(loop)
+    , timers_(timers)
+    , settings_(settings)
+    , log_(log)
+    , stop_(std::move(stop))
+    , peers_(loop, timers)
+    , machine_(log, [this] { directory_.publish(); })
+    , runner_(std::make_unique<replica::replica_runner>(
+          std::move(disk), settings.address, random_number(),
+          replica::replica_runner::parts{timers, peers_, machine_, log},
+          settings.agreement, [this](const error& cause) { stop_(cause); }))
+    , members_(*runner_, peers_, log)
+    , founding_(settings.address.address, settings.address,
+                {.founders = founders_of(settings.seeds),
+                 .may_found = settings.may_found,
+                 .joins_alone = true,
+                 .retired = [this] { retire(); }},
+                *runner_, timers, peers_, log)
+    , group_({*runner_, founding_, members_, timers, log})
+    , registry_(settings.registry)
+    , directory_(registry_, timers, random_number(),
+                 [this] { return describe(); })
+    , started_(timers.now())
+{
+    directory_.on_acknowledged([this] { answer_confirmed(); });
+}
+
+result<void> control_node::start()
+{
+    const auto started = runner_->start();
+    if (!started)
+    {
+        return started;
+    }
+    auto server = transport::http2_server::listen(
+        loop_, settings_.address,
+        [this](const transport::http_request& request,
+               const std::shared_ptr<transport::http_exchange>& exchange)
+        { handle(request, exchange); });
+    if (!server)
+    {
+        return tl::unexpected(server.error());
+    }
+    server_ = std::move(*server);
+    founding_.start();
+    follow_members();
+    ticks_ = timers_.every(tick_interval, [this](time_point now) { tick(now); });
+    return {};
+}
+
+void control_node::handle(const transport::http_request& request,
+                          const directory_server::exchange& answer)
+{
+    if (group_.handle(request, answer))
+    {
+        return;
+    }
+    if (request.method != "POST" || request.path != "/v1/directory")
+    {
+        answer->respond(state::to_http(
+            error{error_kind::not_found, request.method + " " + request.path +
+                                             ": no such request"}));
+        return;
+    }
+    const auto handled = directory_.handle(request, answer);
+    if (!handled)
+    {
+        log_.bad_input("directory", handled.error(), answer->peer(),
+                       timers_.now());
+        answer->respond(state::to_http(handled.error()));
+    }
+}
+
+void control_node::tick(time_point now)
+{
+    follow_members();
+    expire(now);
+    remove_silent_member(now);
+    const bool current = is_current();
+    if (current != current_)
+    {
+        current_ = current;
+        log_.contact_changed("group", settings_.address, current,
+                             current ? "majority" : "no majority");
+    }
+}
+
+std::vector<transport::endpoint> control_node::member_addresses() const
+{
+    std::vector<transport::endpoint> addresses;
+    for (const auto& member : runner_->node().group().members)
+    {
+        addresses.push_back(member.address);
+    }
+    return addresses;
+}
+
+void control_node::follow_members()
+{
+    auto wanted = member_addresses();
+    if (wanted.empty())
+    {
+        wanted = settings_.seeds;
+    }
+    std::erase_if(followed_,
+                  [&wanted](const auto& each)
+                  {
+                      return std::find(wanted.begin(), wanted.end(),
+                                       each.first) == wanted.end();
+                  });
+    for (const auto& member : wanted)
+    {
+        if (member != settings_.address && !followed_.contains(member))
+        {
+            follow(member);
+        }
+    }
+}
+
+void control_node::follow(const transport::endpoint& member)
+{
+    auto client = std::make_unique<directory_client>(
+        loop_, timers_, member,
+        directory_client::hooks{
+            [this]
+            {
+                coordination::directory_request request;
+                request.from_replica = true;
+                request.sender = settings_.address;
+                return request;
+            },
+            [this](const coordination::directory_reply& reply, bool)
+            { take(reply); },
+            [](const error&) { return true; }});
+    auto& added = followed_[member];
+    added = std::move(client);
+    added->start();
+}
+
+void control_node::take(const coordination::directory_reply& reply)
+{
+    const auto now = timers_.now();
+    bool changed = false;
+    for (const auto& record : reply.upstreams)
+    {
+        if (registry_.apply(record, now) == coordination::registration::changed)
+        {
+            changed = true;
+            log_.upstream_changed(record, "replica");
+        }
+    }
+    for (const auto& refresh : reply.refreshes)
+    {
+        changed = registry_.apply(refresh, now) ==
+                      coordination::registration::changed ||
+                  changed;
+    }
+    if (changed)
+    {
+        directory_.publish();
+    }
+}
+
+// Without contact to a majority the silence may be this instance's own.
+void control_node::expire(time_point now)
+{
+    const bool warm = now - started_ >= settings_.registry.lease;
+    if (!warm || !is_current())
+    {
+        return;
+    }
+    const auto lost = registry_.expire(now);
+    for (const auto id : lost)
+    {
+        log_.upstream_changed(*registry_.find(id), "lease");
+    }
+    if (!lost.empty())
+    {
+        directory_.publish();
+    }
+}
+
+bool control_node::is_current() const
+{
+    const auto now = timers_.now();
+    const auto& node = runner_->node();
+    if (!node.is_in_contact(now))
+    {
+        return false;
+    }
+    std::size_t reached = 1;
+    for (const auto& [address, client] : followed_)
+    {
+        const auto replied = client->last_reply();
+        reached += replied && now - *replied <= contact_limit ? 1 : 0;
+    }
+    return reached > node.group().members.size() / 2;
+}
+
+bool control_node::known_to_majority(std::uint64_t cursor) const
+{
+    const auto members = member_addresses();
+    std::size_t known = 0;
+    for (const auto& member : members)
+    {
+        const bool knows = member == settings_.address ||
+                           directory_.acknowledged(member) >= cursor;
+        known += knows ? 1 : 0;
+    }
+    return known > members.size() / 2 || members.empty();
+}
+
+directory_server::view control_node::describe() const
+{
+    return {is_current(), machine_.current(), member_addresses()};
+}
+
+void control_node::take_heartbeat(
+    const coordination::registered_upstream& record, done_callback callback)
+{
+    const auto now = timers_.now();
+    const auto outcome = registry_.apply(record, now);
+    if (outcome != coordination::registration::stale)
+    {
+        registry_.note_heard(record.id, now);
+    }
+    if (outcome == coordination::registration::changed)
+    {
+        log_.upstream_changed(record, "upstream");
+        directory_.publish();
+    }
+    if (record.condition == coordination::upstream_condition::ready)
+    {
+        callback({});
+        return;
+    }
+    confirm_leave(record.id, record.sequence, std::move(callback));
+}
+
+void control_node::take_leave(std::uint64_t upstream,
+                              std::optional<std::uint64_t> incarnation,
+                              done_callback callback)
+{
+    const auto outcome =
+        registry_.leave(upstream, incarnation, timers_.now());
+    if (outcome == coordination::registration::changed)
+    {
+        log_.upstream_changed(*registry_.find(upstream), "upstream");
+        directory_.publish();
+    }
+    confirm_leave(upstream, 0, std::move(callback));
+}
+
+void control_node::confirm_leave(std::uint64_t upstream, std::uint64_t sequence,
+                                 done_callback callback)
+{
+    const auto cursor = registry_.changed_at(upstream);
+    const auto id = next_leave_++;
+    leaves_.emplace(id, pending_leave{upstream, sequence, cursor, timers_.now(),
+                                      std::move(callback),
+                                      timers_.after(leave_confirmation,
+                                                    [this, id](time_point) {
+                                                        finish_leave(id, false);
+                                                    })});
+    if (known_to_majority(cursor))
+    {
+        finish_leave(id, true);
+    }
+}
+
+void control_node::answer_confirmed()
+{
+    std::vector<std::uint64_t> confirmed;
+    for (const auto& [id, leave] : leaves_)
+    {
+        if (known_to_majority(leave.cursor))
+        {
+            confirmed.push_back(id);
+        }
+    }
+    for (const auto id : confirmed)
+    {
+        finish_leave(id, true);
+    }
+}
+
+void control_node::finish_leave(std::uint64_t id, bool confirmed)
+{
+    auto done = leaves_.extract(id);
+    if (!done)
+    {
+        return;
+    }
+    auto& leave = done.mapped();
+    log_.leave_answered(leave.upstream, leave.sequence, confirmed,
+                        timers_.now() - leave.started);
+    leave.callback(confirmed
+                       ? result<void>{}
+                       : failure(error_kind::no_quorum,
+                                 "no majority has confirmed the leave"));
+}
+
+void control_node::submit(state::submitted_plan plan, done_callback callback)
+{
+    const auto checked = state::check_plan(plan.plan);
+    if (!checked)
+    {
+        callback(checked);
+        return;
+    }
+    if (!runner_->is_leader())
+    {
+        callback(failure(error_kind::not_leader, "another instance leads"));
+        return;
+    }
+    // The highest version is in force already, so this one changes nothing.
+    if (plan.plan.version <= machine_.current()->plan.version)
+    {
+        callback({});
+        return;
+    }
+    runner_->submit(state::encode_plan(plan),
+                    [this, callback = std::move(callback)](
+                        const result<std::uint64_t>& index)
+                    {
+                        runner_->defer([callback, index]
+                                       { callback(index.map([](auto) {})); });
+                    });
+}
+
+void control_node::read(plan_callback callback)
+{
+    if (!runner_->is_leader())
+    {
+        callback(failure(error_kind::not_leader, "another instance leads"));
+        return;
+    }
+    runner_->read(
+        [this, callback = std::move(callback)](
+            const result<std::uint64_t>& index)
+        {
+            if (!index)
+            {
+                callback(tl::unexpected(index.error()));
+                return;
+            }
+            if (machine_.current()->plan.version == 0)
+            {
+                callback(failure(error_kind::not_found, "no plan yet"));
+                return;
+            }
+            callback(machine_.current());
+        });
+}
+
+std::optional<transport::endpoint> control_node::other_leader() const
+{
+    const auto leader = runner_->leader_address();
+    return runner_->is_leader() || leader == settings_.address ? std::nullopt
+                                                               : leader;
+}
+
+// One removal at a time, and only while all other members answer, so that the
+// group stays large enough for the losses that it must bear.
+void control_node::remove_silent_member(time_point now)
+{
+    const auto& node = runner_->node();
+    if (node.last_group_index() != group_index_)
+    {
+        group_index_ = node.last_group_index();
+        group_changed_ = now;
+    }
+    if (removing_ || !runner_->is_leader())
+    {
+        return;
+    }
+    const bool joined_lately =
+        group_index_ > 0 && now - group_changed_ <= join_memory;
+    const auto silent = coordination::member_to_remove(
+        node.group(), node.silences(now),
+        joined_lately ? replaced_member_silence : lost_member_silence);
+    if (!silent)
+    {
+        return;
+    }
+    removing_ = true;
+    log_.member_removed(silent->id, silent->silence);
+    runner_->change(coordination::remove_replica{silent->id},
+                    [this](const result<std::uint64_t>& outcome)
+                    {
+                        removing_ = false;
+                        if (!outcome)
+                        {
+                            log_.request_failed("remove", outcome.error());
+                        }
+                    });
+}
+
+// A retired identity never returns: the instance joins again as a new one.
+void control_node::retire()
+{
+    log_.identity_retired(runner_->node().self());
+    std::error_code fault;
+    for (const auto& file :
+         std::filesystem::directory_iterator(settings_.data_directory, fault))
+    {
+        std::filesystem::remove(file.path(), fault);
+    }
+    stop_(fault ? std::optional(error{error_kind::storage_failure,
+                                      fault.message()})
+                : std::nullopt);
+}
+
+} // namespace boragestand::fleet
--- /dev/null
+++ b/src/fleet/directory_client.cpp
@@ -0,0 +1,73 @@
+#include "fleet/directory_client.hpp"
+
+#include "fleet/fleet_times.hpp"
+
+#include <utility>
+
+namespace boragestand::fleet
+{
+
+directory_client::directory_client(transport::main_loop& loop,
+                                   transport::timer_service& timers,
+                                   const transport::endpoint& remote,
+                                   hooks callbacks)
+    : timers_(timers)
+    , remote_(remote)
+    , hooks_(std::move(callbacks))
+    , client_(loop, timers, remote)
+{
+}
+
+void directory_client::ask()
+{
+    auto request = hooks_.request();
+    request.epoch = epoch_;
+    request.cursor = cursor_;
+    client_.request({.method = "POST",
+                     .path = "/v1/directory",
+                     .headers = {},
+                     .body = coordination::encode_message(request)},
+                    directory_timeout,
+                    [this](const result<transport::http_response>& response)
+                    { take(response); });
+}
+
+void directory_client::take(const result<transport::http_response>& response)
+{
+    if (!response)
+    {
+        fail(response.error());
+        return;
+    }
+    if (response->status != 200)
+    {
+        fail({error_kind::unavailable, transport::to_string(remote_) +
+                                           " answered with status " +
+                                           std::to_string(response->status)});
+        return;
+    }
+    const auto reply = coordination::decode_directory_reply(response->body);
+    if (!reply)
+    {
+        fail(reply.error());
+        return;
+    }
+    const bool whole = reply->epoch != epoch_;
+    epoch_ = reply->epoch;
+    cursor_ = reply->cursor;
+    last_reply_ = timers_.now();
+    // The callback may replace this client, so it runs last on its own turn.
+    retry_ = timers_.after(duration(0), [this](time_point) { ask(); });
+    hooks_.replied(*reply, whole);
+}
+
+void directory_client::fail(const error& cause)
+{
+    retry_ = timers_.after(directory_retry, [this](time_point) { ask(); });
+    if (!hooks_.failed(cause))
+    {
+        retry_.cancel();
+    }
+}
+
+} // namespace boragestand::fleet
--- /dev/null
+++ b/src/fleet/directory_server.cpp
@@ -0,0 +1,153 @@
+#include "fleet/directory_server.hpp"
+
+#include "fleet/fleet_times.hpp"
+
+#include <utility>
+
+namespace boragestand::fleet
+{
+
+using coordination::directory_reply;
+using coordination::directory_request;
+
+directory_server::directory_server(
+    const coordination::upstream_registry& registry,
+    transport::timer_service& timers, std::uint64_t epoch,
+    std::function<view()> describe)
+    : registry_(registry)
+    , timers_(timers)
+    , epoch_(epoch)
+    , describe_(std::move(describe))
+{
+}
+
+result<void> directory_server::handle(const transport::http_request& request,
+                                      const exchange& answer)
+{
+    const auto wanted = coordination::decode_directory_request(request.body);
+    if (!wanted)
+    {
+        return tl::unexpected(wanted.error());
+    }
+    note_sender(*wanted);
+    const auto now = describe_();
+    if (has_news(*wanted, now))
+    {
+        reply(*wanted, answer, now);
+        return {};
+    }
+    const auto id = next_waiting_++;
+    waiting_.emplace(
+        id, waiting{*wanted, answer,
+                    timers_.after(directory_wait, [this, id](time_point)
+                                  { answer_overdue(id); })});
+    return {};
+}
+
+void directory_server::note_sender(const directory_request& request)
+{
+    if (!request.from_replica)
+    {
+        loads_[request.load.entry] = {request.load, timers_.now()};
+        return;
+    }
+    if (request.epoch != epoch_)
+    {
+        return;
+    }
+    auto& seen = acknowledged_[request.sender];
+    if (request.cursor > seen)
+    {
+        seen = request.cursor;
+        if (acknowledged_callback_)
+        {
+            acknowledged_callback_();
+        }
+    }
+}
+
+std::uint64_t
+directory_server::acknowledged(const transport::endpoint& replica) const
+{
+    const auto found = acknowledged_.find(replica);
+    return found == acknowledged_.end() ? 0 : found->second;
+}
+
+bool directory_server::has_news(const directory_request& request,
+                                const view& now) const
+{
+    const bool newer_plan = !request.from_replica &&
+                            now.plan->plan.version > request.plan_version;
+    return request.epoch != epoch_ || request.cursor < registry_.cursor() ||
+           newer_plan;
+}
+
+void directory_server::reply(const directory_request& request,
+                             const exchange& answer, const view& now)
+{
+    const auto time = timers_.now();
+    directory_reply message;
+    message.epoch = epoch_;
+    message.cursor = registry_.cursor();
+    message.current = now.current;
+    message.plan_version = now.plan->plan.version;
+    message.controls = now.controls;
+    const bool known = request.epoch == epoch_;
+    message.upstreams =
+        registry_.changes_since(known ? request.cursor : 0, time);
+    if (request.from_replica)
+    {
+        message.refreshes = registry_.heard_since(time - 2 * directory_wait);
+    }
+    else
+    {
+        if (now.plan->plan.version > request.plan_version)
+        {
+            message.plan = now.plan->plan;
+        }
+        for (const auto& [entry, load] : loads_)
+        {
+            if (time - load.at <= entry_load_lifetime)
+            {
+                message.loads.push_back(load.load);
+            }
+        }
+    }
+    answer->respond({.status = 200,
+                     .headers = {},
+                     .body = coordination::encode_message(message)});
+}
+
+void directory_server::publish()
+{
+    if (waiting_.empty())
+    {
+        return;
+    }
+    const auto now = describe_();
+    for (auto it = waiting_.begin(); it != waiting_.end();)
+    {
+        if (!has_news(it->second.request, now))
+        {
+            ++it;
+            continue;
+        }
+        const auto done = std::move(it->second);
+        it = waiting_.erase(it);
+        reply(done.request, done.answer, now);
+    }
+}
+
+void directory_server::answer_overdue(std::uint64_t id)
+{
+    const auto found = waiting_.find(id);
+    if (found == waiting_.end())
+    {
+        return;
+    }
+    const auto done = std::move(found->second);
+    waiting_.erase(found);
+    reply(done.request, done.answer, describe_());
+}
+
+} // namespace boragestand::fleet
--- /dev/null
+++ b/src/fleet/directory_server.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "coordination/coordination.hpp"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace boragestand::fleet
+{
+
+/// Answers POST /v1/directory of entry and control instances with what changed
+/// since they asked last. A request without news waits until there is some, or
+/// until directory_wait has passed.
+class directory_server
+{
+public:
+    using exchange = std::shared_ptr<transport::http_exchange>;
+
+    /// What replies are made of, besides the registry.
+    struct view
+    {
+        bool current{false};
+        std::shared_ptr<const state::submitted_plan> plan;
+        std::vector<transport::endpoint> controls;
+    };
+
+    /// epoch is a random number of this run.
+    directory_server(const coordination::upstream_registry& registry,
+                     transport::timer_service& timers, std::uint64_t epoch,
+                     std::function<view()> describe);
+
+    /// Answers one request now or later; an error if it cannot be read.
+    result<void> handle(const transport::http_request& request,
+                        const exchange& answer);
+
+    /// The registry or the plan has changed.
+    void publish();
+
+    /// The cursor that a control instance has acknowledged in this run.
+    std::uint64_t acknowledged(const transport::endpoint& replica) const;
+
+    /// Called whenever a control instance acknowledges more.
+    void on_acknowledged(std::function<void()> callback)
+    {
+        acknowledged_callback_ = std::move(callback);
+    }
+
+    /// Entry instances that asked within the last seconds.
+    std::size_t entry_count() const { return loads_.size(); }
+
+private:
+    struct waiting
+    {
+        coordination::directory_request request;
+        exchange answer;
+        transport::subscription timeout;
+    };
+
+    struct reported_load
+    {
+        coordination::entry_load load;
+        time_point at;
+    };
+
+    bool has_news(const coordination::directory_request& request,
+                  const view& now) const;
+    void note_sender(const coordination::directory_request& request);
+    void reply(const coordination::directory_request& request,
+               const exchange& answer, const view& now);
+    void answer_overdue(std::uint64_t id);
+
+    const coordination::upstream_registry& registry_;
+    transport::timer_service& timers_;
+    std::uint64_t epoch_;
+    std::function<view()> describe_;
+    std::function<void()> acknowledged_callback_;
+    std::map<std::uint64_t, waiting> waiting_;
+    std::uint64_t next_waiting_{1};
+    std::map<transport::endpoint, std::uint64_t> acknowledged_;
+    std::map<std::uint32_t, reported_load> loads_;
+};
+
+} // namespace boragestand::fleet
--- /dev/null
+++ b/src/fleet/entry_node.cpp
@@ -0,0 +1,115 @@
+#include "fleet/entry_node.hpp"
+
+#include "fleet/fleet_times.hpp"
+
+namespace boragestand::fleet
+{
+
+namespace
+{
+
+constexpr duration sweep_interval = std::chrono::milliseconds(200);
+
+// Weight of the newest second in the smoothed rate of new flows.
+constexpr double rate_smoothing = 0.4;
+
+} // namespace
+
+entry_node::entry_node(transport::main_loop& loop,
+                       transport::timer_service& timers,
+                       const entry_node_settings& settings, fleet_log& log)
+    : timers_(timers)
+    , settings_(settings)
+    , log_(log)
+    , router_(settings.router)
+    , directory_(loop, timers, settings.seeds, settings.address.address, log,
+                 {[this] { return make_request(); },
+                  [this](const coordination::directory_reply& reply, bool whole,
+                         const transport::endpoint& source)
+                  {
+                      take(reply, whole, source);
+                  }})
+    , started_(timers.now())
+    , measured_(started_)
+{
+    sweep_ = timers.every(sweep_interval,
+                          [this](time_point now)
+                          {
+                              router_.sweep(now);
+                              measure(now);
+                          });
+}
+
+coordination::directory_request entry_node::make_request()
+{
+    coordination::directory_request request;
+    request.sender = settings_.address;
+    request.plan_version = router_.plan_version();
+    request.load = {settings_.address.address,
+                    static_cast<std::uint32_t>(new_flows_),
+                    hash_text(settings_.data_centre)};
+    return request;
+}
+
+void entry_node::take(const coordination::directory_reply& reply, bool whole,
+                      const transport::endpoint& source)
+{
+    const auto now = timers_.now();
+    for (const auto& record : reply.upstreams)
+    {
+        if (!whole)
+        {
+            log_.upstream_changed(record, transport::to_string(source));
+        }
+    }
+    router_.apply(reply.upstreams, whole && reply.current, now);
+    const auto former = router_.plan_version();
+    if (reply.plan && router_.apply(*reply.plan))
+    {
+        log_.plan_in_force(reply.plan->version, former,
+                           reply.plan->routes.size(), source);
+    }
+    if (reply.current && reply.plan_version <= router_.plan_version())
+    {
+        router_.confirm_plan(now);
+    }
+}
+
+void entry_node::measure(time_point now)
+{
+    const auto passed = now - measured_;
+    if (passed < std::chrono::seconds(1))
+    {
+        return;
+    }
+    const auto placed = router_.counters().placed;
+    const double rate = static_cast<double>(placed - measured_flows_) /
+                        std::chrono::duration<double>(passed).count();
+    new_flows_ += rate_smoothing * (rate - new_flows_);
+    measured_flows_ = placed;
+    measured_ = now;
+}
+
+coordination::token_decision
+entry_node::decide(const coordination::token_packet& packet, time_point now)
+{
+    return router_.decide(packet, now);
+}
+
+bool entry_node::is_ready() const
+{
+    if (router_.plan_version() == 0)
+    {
+        return false;
+    }
+    return directory_.last_current().has_value() ||
+           timers_.now() - started_ >= ready_without_contact;
+}
+
+std::optional<duration> entry_node::directory_age(time_point now) const
+{
+    const auto last = directory_.last_reply();
+    return last ? std::optional(now - *last) : std::nullopt;
+}
+
+} // namespace boragestand::fleet
--- /dev/null
+++ b/src/fleet/entry_node.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "fleet/directory_subscription.hpp"
+
+namespace boragestand::fleet
+{
+
+/// How an entry instance of a fleet is set up.
+struct entry_node_settings
+{
+    transport::endpoint address; ///< where other instances know this one
+    std::string data_centre;
+    std::vector<transport::endpoint> seeds; ///< control instances to ask first
+    coordination::token_router_settings router;
+};
+
+/// An entry instance of a fleet whose instances find each other: routes packets
+/// by token with the plan and the upstreams that a control instance tells it.
+class entry_node
+{
+public:
+    entry_node(transport::main_loop& loop, transport::timer_service& timers,
+               const entry_node_settings& settings, fleet_log& log);
+
+    /// Starts to ask control instances.
+    void start() { directory_.start(); }
+
+    /// Decides on one packet.
+    coordination::token_decision
+    decide(const coordination::token_packet& packet, time_point now);
+
+    /// Whether new flows can be placed: a plan is in force that was confirmed,
+    /// or no control instance could confirm one within ready_without_contact.
+    bool is_ready() const;
+
+    /// Age of what is known, none before the first reply.
+    std::optional<duration> directory_age(time_point now) const;
+
+    const coordination::token_router& router() const { return router_; }
+
+private:
+    coordination::directory_request make_request();
+    void take(const coordination::directory_reply& reply, bool whole,
+              const transport::endpoint& source);
+    void measure(time_point now);
+
+    transport::timer_service& timers_;
+    entry_node_settings settings_;
+    fleet_log& log_;
+    coordination::token_router router_;
+    directory_subscription directory_;
+    transport::subscription sweep_;
+    time_point started_;
+    time_point measured_;
+    std::uint64_t measured_flows_{0};
+    double new_flows_{0.0}; ///< a second, smoothed
+};
+
+} // namespace boragestand::fleet
--- /dev/null
+++ b/src/fleet/fleet.hpp
@@ -0,0 +1,10 @@
+#pragma once
+
+/// Public header of the fleet library: instances that find each other, keep one
+/// plan and one registry of upstreams, and route by tokens.
+
+#include "fleet/control_node.hpp"
+#include "fleet/directory_subscription.hpp"
+#include "fleet/entry_node.hpp"
+#include "fleet/fleet_log.hpp"
+#include "fleet/fleet_times.hpp"
--- /dev/null
+++ b/src/fleet/fleet_log.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "replica/replica_log.hpp"
+#include "settings/settings.hpp"
+
+#include <optional>
+#include <string_view>
+
+namespace boragestand::fleet
+{
+
+/// Writes the log lines of the instances of a fleet: one for each decision and
+/// each change of what an instance believes.
+class fleet_log final : public replica::replica_log
+{
+public:
+    explicit fleet_log(settings::event_log& log) : log_(log) {}
+
+    void started(replica_id self, const state::log_recovery& recovery) override;
+    void founded(const protocol::replica_group& group) override;
+    void role_changed(const coordination::role_changed& change) override;
+    void group_changed(const protocol::log_entry& entry) override;
+    void snapshot_stored(const protocol::agreement_snapshot& snapshot,
+                         bool installed) override;
+    void disk_replaced(replica_id self, replica_id replaced) override;
+    void request_failed(std::string_view path, const error& cause) override;
+    void bad_input(std::string_view input, const error& cause,
+                   const transport::endpoint& source, time_point now) override;
+    void failed(const error& cause) override;
+
+    /// A committed plan was applied.
+    void plan_applied(std::uint64_t index, std::uint64_t version,
+                      std::uint64_t former, state::plan_outcome outcome);
+
+    /// An operator's plan was answered. version is 0 if it could not be read.
+    void plan_answered(std::uint64_t version, std::uint64_t in_force,
+                       std::string_view outcome, duration taken);
+
+    /// An operator's read was answered.
+    void plan_read(std::uint64_t version, std::string_view outcome,
+                   duration taken);
+
+    /// A record of an upstream changed. source says from where it came.
+    void upstream_changed(const coordination::registered_upstream& record,
+                          std::string_view source);
+
+    /// A planned leave of an upstream was confirmed by a majority, or not.
+    void leave_answered(std::uint64_t upstream, std::uint64_t sequence,
+                        bool confirmed, duration taken);
+
+    /// Contact to another instance was lost or regained.
+    void contact_changed(std::string_view role, const transport::endpoint& peer,
+                         bool in_contact, std::string_view reason);
+
+    /// Another plan is in force at this entry instance.
+    void plan_in_force(std::uint64_t version, std::uint64_t former,
+                       std::size_t routes, const transport::endpoint& source);
+
+    /// A member that is silent is removed from the group.
+    void member_removed(replica_id member, duration silence);
+
+    /// The identity on this disk was retired by the group.
+    void identity_retired(replica_id self);
+
+    /// Start, stop or reload of the process.
+    void lifecycle(std::string_view event, std::string_view detail);
+
+    settings::event_log& lines() { return log_; }
+
+private:
+    settings::event_log& log_;
+};
+
+/// Hexadecimal text of an identity, as in logs.
+std::string identity_text(std::uint64_t id);
+
+} // namespace boragestand::fleet
--- /dev/null
+++ b/src/fleet/fleet_times.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "base/base.hpp"
+
+/// Times of the exchange between the instances of a fleet.
+namespace boragestand::fleet
+{
+
+/// Longest wait of a directory request without news. It bounds the age of what
+/// an instance holds: a reply that stays out for longer means lost contact.
+constexpr duration directory_wait = std::chrono::milliseconds(500);
+
+/// Time for a reply besides directory_wait: some round trips and a turn of a
+/// machine with 0.05 of a core.
+constexpr duration directory_timeout =
+    directory_wait + std::chrono::milliseconds(500);
+
+/// Pause after a directory request that failed.
+constexpr duration directory_retry = std::chrono::milliseconds(150);
+
+/// Contact with a control instance counts as lost after this time without a
+/// reply.
+constexpr duration contact_limit = 2 * directory_timeout;
+
+/// The load that an entry instance reported is used this long.
+constexpr duration entry_load_lifetime = std::chrono::seconds(3);
+
+/// Longest wait for a majority before the leave of an upstream is answered. An
+/// upstream takes an answer within a second only.
+constexpr duration leave_confirmation = std::chrono::milliseconds(700);
+
+/// A member without an answer for this long is removed from the group. It is
+/// longer than the freezes and cuts that an instance comes back from.
+constexpr duration lost_member_silence = std::chrono::seconds(10);
+
+/// The same while a new member has joined within join_memory: it is the
+/// successor of one that is gone.
+constexpr duration replaced_member_silence = std::chrono::seconds(3);
+constexpr duration join_memory = std::chrono::seconds(20);
+
+/// An entry instance that no control instance in contact with its group has
+/// answered serves with an unconfirmed plan after this time.
+constexpr duration ready_without_contact = std::chrono::seconds(3);
+
+} // namespace boragestand::fleet
--- a/src/boragestand-control/founding_status.cpp
+++ b/src/replica/founding_status.cpp
@@ -1,8 +1,8 @@
-#include "founding_status.hpp"
+#include "replica/founding_status.hpp"
 
 #include <nlohmann/json.hpp>
 
-namespace boragestand::control
+namespace boragestand::replica
 {
 
 namespace
@@ -68,4 +68,4 @@
     }
 }
 
-} // namespace boragestand::control
+} // namespace boragestand::replica
--- a/src/boragestand-control/founding_status.hpp
+++ b/src/replica/founding_status.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace boragestand::control
+namespace boragestand::replica
 {
 
 /// What a control instance tells another one that does not know its group yet,
@@ -27,4 +27,4 @@
 /// Reads what to_json() writes; error_kind::malformed_message otherwise.
 result<founding_status> founding_status_from_json(std::string_view text);
 
-} // namespace boragestand::control
+} // namespace boragestand::replica
--- a/src/boragestand-control/group_founding.cpp
+++ b/src/replica/group_founding.cpp
@@ -1,10 +1,10 @@
-#include "group_founding.hpp"
+#include "replica/group_founding.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 
-namespace boragestand::control
+namespace boragestand::replica
 {
 
 namespace
@@ -14,17 +14,20 @@
 constexpr duration answer_timeout = std::chrono::milliseconds(400);
 constexpr duration replacement_timeout = std::chrono::seconds(3);
 
+// Elections end well within this time while a majority can be reached.
+constexpr duration removal_check_delay = std::chrono::seconds(3);
+
 } // namespace
 
 group_founding::group_founding(std::uint32_t self,
                                const transport::endpoint& address,
-                               std::vector<founder> founders,
-                               replica_host& host,
+                               policy rules,
+                               replica_runner& host,
                                transport::timer_service& timers,
-                               replica::peer_link& peers, control_log& log)
+                               peer_link& peers, replica_log& log)
     : self_(self)
     , address_(address)
-    , founders_(std::move(founders))
+    , policy_(std::move(rules))
     , host_(host)
     , timers_(timers)
     , peers_(peers)
@@ -41,7 +44,7 @@
 bool group_founding::is_decider() const
 {
     bool listed = false;
-    for (const auto& each : founders_)
+    for (const auto& each : policy_.founders)
     {
         if (each.instance < self_)
         {
@@ -75,12 +78,16 @@
 void group_founding::poll()
 {
     joined_ = joined_ || is_member();
-    if (joined_)
+    if (host_.node().leader().value != 0)
+    {
+        leader_seen_ = timers_.now();
+    }
+    if (joined_ && !is_cut_off())
     {
         return;
     }
     found_if_complete();
-    for (const auto& other : founders_)
+    for (const auto& other : policy_.founders)
     {
         if (other.instance != self_)
         {
@@ -97,7 +104,8 @@
         answer_timeout,
         [this, other](const result<transport::http_response>& response)
         {
-            if (!response || response->status != 200 || is_member())
+            const bool settled = is_member() && !is_cut_off();
+            if (!response || response->status != 200 || settled)
             {
                 return;
             }
@@ -125,13 +133,13 @@
 
 void group_founding::found_if_complete()
 {
-    if (!is_decider() || new_founders_.size() + 1 != founders_.size() ||
+    if (!policy_.may_found || !is_decider() || new_founders_.size() + 1 != policy_.founders.size() ||
         is_member() || host_.node().last().index > 0)
     {
         return;
     }
     protocol::replica_group group;
-    for (const auto& each : founders_)
+    for (const auto& each : policy_.founders)
     {
         const auto id = each.instance == self_ ? host_.node().self()
                                                : new_founders_[each.instance];
@@ -161,6 +169,17 @@
             return;
         }
     }
+    if (policy_.joins_alone)
+    {
+        request_membership(status, "add", 0);
+    }
+}
+
+// A member that hears no leader may have been removed while it was away.
+bool group_founding::is_cut_off() const
+{
+    return policy_.joins_alone &&
+           timers_.now() - leader_seen_ >= removal_check_delay;
 }
 
 void group_founding::request_replacement(const founding_status& status,
@@ -171,21 +190,37 @@
         replacement_logged_ = true;
         log_.disk_replaced(host_.node().self(), replaced);
     }
+    request_membership(status, "replace", self_);
+}
+
+void group_founding::request_membership(const founding_status& status,
+                                        const std::string& action,
+                                        std::uint32_t replaced)
+{
     if (status.leader.address == 0)
     {
         return;
     }
-    const nlohmann::json body{{"action", "replace"},
+    const nlohmann::json body{{"action", action},
                               {"id", self_},
                               {"http", transport::to_string(address_)},
-                              {"replaces", self_}};
+                              {"replaces", replaced}};
     peers_.request(status.leader,
                    {.method = "POST",
                     .path = "/v1/members",
                     .headers = {},
                     .body = body.dump()},
                    replacement_timeout,
-                   [](const result<transport::http_response>&) {});
+                   [this](const result<transport::http_response>& response)
+                   {
+                       const auto retired =
+                           answer_for(error_kind::identity_retired).http_status;
+                       if (response && response->status == retired &&
+                           policy_.retired)
+                       {
+                           policy_.retired();
+                       }
+                   });
 }
 
-} // namespace boragestand::control
+} // namespace boragestand::replica
--- a/src/boragestand-control/group_founding.hpp
+++ b/src/replica/group_founding.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
-#include "founding_status.hpp"
-#include "replica_host.hpp"
+#include "replica/founding_status.hpp"
+#include "replica/replica_runner.hpp"
 
+#include <functional>
 #include <map>
+#include <string>
 #include <vector>
 
-namespace boragestand::control
+namespace boragestand::replica
 {
 
 /// Finds out what an instance without a history is, and asks until it is part
@@ -18,7 +20,8 @@
 /// - A known instance whose disk was lost: the group knows its number with
 ///   another identity. It asks the leader to replace that one and never votes
 ///   under it.
-/// - A new instance: it waits until an operator adds it.
+/// - A new instance: it waits until an operator adds it, or asks to be added.
+/// - A member that was removed while it was away: its identity is retired.
 class group_founding
 {
 public:
@@ -29,10 +32,22 @@
         transport::endpoint address;
     };
 
+    /// How an instance gets into a group.
+    struct policy
+    {
+        /// Instances to ask, and the first group if may_found is set.
+        std::vector<founder> founders;
+        bool may_found{true};
+        /// Asks to be added as a new instance, and notices that it was removed.
+        bool joins_alone{false};
+        /// Called when joins_alone is set and the identity is retired.
+        std::function<void()> retired{};
+    };
+
     group_founding(std::uint32_t self, const transport::endpoint& address,
-                   std::vector<founder> founders, replica_host& host,
-                   transport::timer_service& timers, replica::peer_link& peers,
-                   control_log& log);
+                   policy rules, replica_runner& host,
+                   transport::timer_service& timers, peer_link& peers,
+                   replica_log& log);
 
     /// Asks all others now and regularly until this instance is a member.
     void start();
@@ -48,22 +63,26 @@
     void found_if_complete();
     void request_replacement(const founding_status& status,
                              replica_id replaced);
+    void request_membership(const founding_status& status,
+                            const std::string& action, std::uint32_t replaced);
+    bool is_cut_off() const;
     bool is_member() const;
     bool is_decider() const;
 
     std::uint32_t self_;
     transport::endpoint address_;
-    std::vector<founder> founders_;
-    replica_host& host_;
+    policy policy_;
+    replica_runner& host_;
     transport::timer_service& timers_;
-    replica::peer_link& peers_;
-    control_log& log_;
+    peer_link& peers_;
+    replica_log& log_;
     transport::subscription polling_;
     /// Identities of other founders that have no history.
     std::map<std::uint32_t, replica_id> new_founders_;
     /// Set for good: a member that is removed later does not ask again.
     bool joined_{false};
     bool replacement_logged_{false};
+    time_point leader_seen_{};
 };
 
 /// Number of the instance that an identity belongs to.
@@ -72,4 +91,4 @@
     return static_cast<std::uint32_t>(id.value >> 32);
 }
 
-} // namespace boragestand::control
+} // namespace boragestand::replica
--- a/src/boragestand-control/member_service.cpp
+++ b/src/replica/member_service.cpp
@@ -1,11 +1,11 @@
-#include "member_service.hpp"
+#include "replica/member_service.hpp"
 
-#include "group_founding.hpp"
+#include "replica/group_founding.hpp"
 #include "state/command_http.hpp"
 
 #include <algorithm>
 
-namespace boragestand::control
+namespace boragestand::replica
 {
 
 namespace
@@ -20,8 +20,8 @@
 
 } // namespace
 
-member_service::member_service(replica_host& host, replica::peer_link& peers,
-                               control_log& log)
+member_service::member_service(replica_runner& host, peer_link& peers,
+                               replica_log& log)
     : host_(host), peers_(peers), log_(log)
 {
 }
@@ -228,4 +228,4 @@
     answer->respond(state::to_http(cause));
 }
 
-} // namespace boragestand::control
+} // namespace boragestand::replica
--- a/src/boragestand-control/member_service.hpp
+++ b/src/replica/member_service.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "control_log.hpp"
-#include "founding_status.hpp"
-#include "replica_host.hpp"
+#include "replica/replica_log.hpp"
+#include "replica/founding_status.hpp"
+#include "replica/replica_runner.hpp"
 
 #include <memory>
 #include <string>
 
-namespace boragestand::control
+namespace boragestand::replica
 {
 
 /// Answers POST /v1/members. A new member is asked for the identity of its disk
@@ -17,8 +17,8 @@
 public:
     using exchange = std::shared_ptr<transport::http_exchange>;
 
-    member_service(replica_host& host, replica::peer_link& peers,
-                   control_log& log);
+    member_service(replica_runner& host, peer_link& peers,
+                   replica_log& log);
 
     /// Runs the change; the answer comes once it is committed.
     void handle(const transport::http_request& request, const exchange& answer);
@@ -44,9 +44,9 @@
                  const exchange& answer);
     void refuse(const error& cause, const exchange& answer);
 
-    replica_host& host_;
-    replica::peer_link& peers_;
-    control_log& log_;
+    replica_runner& host_;
+    peer_link& peers_;
+    replica_log& log_;
 };
 
-} // namespace boragestand::control
+} // namespace boragestand::replica
--- a/src/replica/replica_log.hpp
+++ b/src/replica/replica_log.hpp
@@ -2,6 +2,8 @@
 
 #include "coordination/coordination.hpp"
 
+#include <string_view>
+
 namespace boragestand::replica
 {
 
@@ -28,6 +30,17 @@
     virtual void snapshot_stored(const protocol::agreement_snapshot& snapshot,
                                  bool installed) = 0;
 
+    /// The disk is new although the group knows this instance.
+    virtual void disk_replaced(replica_id self, replica_id replaced) = 0;
+
+    /// A request of a peer was answered with an error.
+    virtual void request_failed(std::string_view path, const error& cause) = 0;
+
+    /// Input that could not be used; at a bounded rate for each cause.
+    virtual void bad_input(std::string_view input, const error& cause,
+                           const transport::endpoint& source,
+                           time_point now) = 0;
+
     /// The replica cannot go on.
     virtual void failed(const error& cause) = 0;
 };
--- a/src/settings/command_line.cpp
+++ b/src/settings/command_line.cpp
@@ -171,4 +171,12 @@
                                            &read_control_settings);
 }
 
+start<fleet_settings> start_fleet(const program_description& program, int argc,
+                                  const char* const* argv, std::ostream& out,
+                                  std::ostream& err)
+{
+    return start_program<fleet_settings>(program, argc, argv, out, err,
+                                         &read_fleet_settings);
+}
+
 } // namespace boragestand::settings
--- a/src/settings/command_line.hpp
+++ b/src/settings/command_line.hpp
@@ -3,6 +3,7 @@
 #include "document/document.hpp"
 #include "settings/control_settings.hpp"
 #include "settings/entry_settings.hpp"
+#include "settings/fleet_settings.hpp"
 
 #include <iosfwd>
 #include <string>
@@ -38,6 +39,11 @@
                                       int argc, const char* const* argv,
                                       std::ostream& out, std::ostream& err);
 
+/// As start_entry, for instances of a fleet whose instances find each other.
+start<fleet_settings> start_fleet(const program_description& program, int argc,
+                                  const char* const* argv, std::ostream& out,
+                                  std::ostream& err);
+
 /// Writes the table of exit statuses, for the help of programs.
 void print_exit_statuses(std::ostream& out);
 
--- /dev/null
+++ b/src/settings/fleet_settings.cpp
@@ -0,0 +1,159 @@
+#include "settings/fleet_settings.hpp"
+
+#include "settings/settings_reader.hpp"
+#include "settings/yaml_writer.hpp"
+
+namespace boragestand::settings
+{
+
+namespace
+{
+
+using document::fault_list;
+using document::mapping_reader;
+using document::presence;
+
+constexpr document::number_range heartbeat_range{50, 60000};
+
+// Templates leave addresses that an instance does not have empty.
+std::optional<std::string> check_optional_endpoint(std::string_view text)
+{
+    return text.empty() ? std::nullopt : check_endpoint(text);
+}
+
+void read_addresses(mapping_reader& root, fleet_settings& settings)
+{
+    auto reader = root.read_mapping("addresses", presence::required);
+    if (!reader)
+    {
+        return;
+    }
+    read_endpoint(*reader, "internal", settings.internal);
+    const auto read_optional = [&](std::string_view key, std::string& target)
+    {
+        reader->read_text(key, presence::optional, check_optional_endpoint,
+                          target);
+    };
+    read_optional("packets", settings.packets);
+    read_optional("readiness", settings.readiness);
+    read_optional("announcements", settings.announcements);
+    read_optional("metrics", settings.metrics);
+    reader->finish();
+}
+
+void read_seeds(mapping_reader& root, fleet_settings& settings)
+{
+    root.read_list("seeds", presence::required,
+                   [&](const YAML::Node& node, const std::string& path)
+                   {
+                       const auto text =
+                           node.IsScalar() ? node.Scalar() : std::string();
+                       if (const auto expected = check_endpoint(text))
+                       {
+                           root.add_fault("seeds", path + ": expected " +
+                                                       *expected);
+                           return;
+                       }
+                       settings.seeds.push_back(text);
+                   });
+}
+
+void check_roles(mapping_reader& root, const fleet_settings& settings)
+{
+    const bool entry = !settings.packets.empty();
+    const bool control = !settings.announcements.empty();
+    if (entry == control)
+    {
+        root.add_fault("addresses",
+                       "give either packets (an entry instance) or "
+                       "announcements (a control instance)");
+    }
+    if (entry && settings.readiness.empty())
+    {
+        root.add_fault("addresses", "an entry instance needs readiness");
+    }
+    if (control && settings.data_directory.empty())
+    {
+        root.add_fault("data_directory",
+                       "a control instance needs a data directory");
+    }
+    if (settings.seeds.empty())
+    {
+        root.add_fault("seeds", "at least one seed is needed");
+    }
+}
+
+fleet_settings read_all(mapping_reader& root)
+{
+    fleet_settings settings;
+    if (auto reader = root.read_mapping("instance", presence::required))
+    {
+        reader->read_text("name", presence::required, document::check_name,
+                          settings.name);
+        reader->read_text("data_centre", presence::required,
+                          document::check_name, settings.data_centre);
+        reader->finish();
+    }
+    read_addresses(root, settings);
+    read_seeds(root, settings);
+    root.read_flag("first_start", presence::optional, settings.first_start);
+    root.read_text("data_directory", presence::optional,
+                   document::check_any_text, settings.data_directory);
+    root.read_integer("heartbeat_ms", presence::optional, heartbeat_range,
+                      settings.heartbeat_ms);
+    read_log(root, settings.log);
+    root.finish();
+    return settings;
+}
+
+} // namespace
+
+document::checked<fleet_settings> read_fleet_settings(std::string_view yaml)
+{
+    fault_list faults;
+    const auto node = document::parse_yaml(yaml, max_settings_size, faults);
+    if (!node)
+    {
+        return tl::unexpected(faults.sorted());
+    }
+    mapping_reader root(*node, "", faults);
+    auto settings = read_all(root);
+    if (faults.empty())
+    {
+        check_roles(root, settings);
+    }
+    if (!faults.empty())
+    {
+        return tl::unexpected(faults.sorted());
+    }
+    return settings;
+}
+
+std::string to_yaml(const fleet_settings& settings)
+{
+    yaml_writer writer;
+    writer
+        .mapping("instance",
+                 [&]
+                 {
+                     writer.pair("name", settings.name)
+                         .pair("data_centre", settings.data_centre);
+                 })
+        .mapping("addresses",
+                 [&]
+                 {
+                     writer.pair("internal", settings.internal)
+                         .pair("packets", settings.packets)
+                         .pair("readiness", settings.readiness)
+                         .pair("announcements", settings.announcements)
+                         .pair("metrics", settings.metrics);
+                 })
+        .texts("seeds", settings.seeds)
+        .flag("first_start", settings.first_start)
+        .pair("data_directory", settings.data_directory)
+        .pair("heartbeat_ms", settings.heartbeat_ms)
+        .mapping("log", [&] { write(writer, settings.log); });
+    return writer.text();
+}
+
+} // namespace boragestand::settings
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -7,6 +7,7 @@
 #include "settings/control_settings.hpp"
 #include "settings/entry_settings.hpp"
 #include "settings/event_log.hpp"
+#include "settings/fleet_settings.hpp"
 #include "settings/log_level.hpp"
 #include "settings/repeat_limiter.hpp"
 #include "settings/text_file.hpp"
--- a/src/settings/yaml_writer.hpp
+++ b/src/settings/yaml_writer.hpp
@@ -31,6 +31,22 @@
         return *this;
     }
 
+    /// Writes a key with true or false.
+    yaml_writer& flag(std::string_view key, bool value)
+    {
+        emitter_ << YAML::Key << std::string(key) << YAML::Value << value;
+        return *this;
+    }
+
+    /// Writes a key with a list of texts.
+    yaml_writer& texts(std::string_view key,
+                       const std::vector<std::string>& values)
+    {
+        emitter_ << YAML::Key << std::string(key) << YAML::Value << YAML::Flow
+                 << values;
+        return *this;
+    }
+
     /// Writes a key with a number.
     yaml_writer& pair(std::string_view key, std::uint64_t value)
     {
