--- a/src/coordination/agreement_election.hpp
+++ b/src/coordination/agreement_election.hpp
@@ -25,6 +25,9 @@
     /// Starts a new random timeout.
     void restart_timeout(time_point now);
 
+    /// Uses the usual election timeout from now on.
+    void note_leader() { leader_known_ = true; }
+
     /// Whether the timeout has passed.
     bool is_due(time_point now) const { return now >= deadline_; }
 
@@ -49,6 +52,7 @@
     agreement_core& core_;
     random_sequence random_;
     time_point deadline_{};
+    bool leader_known_{false};
     bool pre_vote_{false};
     std::set<replica_id> granted_;
     std::set<replica_id> refused_;
--- a/src/coordination/agreement_events.hpp
+++ b/src/coordination/agreement_events.hpp
@@ -36,6 +36,10 @@
     /// Shortest time without a leader before an election; the actual time is
     /// random up to twice this.
     duration election_timeout{std::chrono::milliseconds(600)};
+    /// The same until a leader was heard for the first time since the start:
+    /// members that start together need not wait for one that cannot exist.
+    /// Pre-votes keep this from disturbing a leader.
+    std::optional<duration> first_election_timeout{};
     std::size_t max_append_entries{256};
     std::size_t max_append_bytes{512 * 1024};
     std::size_t chunk_size{256 * 1024};    ///< of a snapshot transfer
--- a/src/coordination/agreement_node.cpp
+++ b/src/coordination/agreement_node.cpp
@@ -323,6 +323,7 @@
 void agreement_node::hear_leader(replica_id leader, time_point now)
 {
     leader_heard_ = now;
+    election_.note_leader();
     election_.restart_timeout(now);
     if (role_ != agreement_role::follower || leader_id_ != leader)
     {
@@ -343,6 +344,7 @@
 void agreement_node::lead(time_point now)
 {
     change_role(agreement_role::leader, core_.self(), "elected");
+    election_.note_leader();
     leader_.emplace(core_, now);
 }
 
--- a/src/coordination/token_router.cpp
+++ b/src/coordination/token_router.cpp
@@ -184,7 +184,7 @@
                                         : counters_.placed_anew);
     if (flows_.size() < settings_.max_flows || flows_.contains(packet.flow))
     {
-        upstream_pool::note_syn(*upstream, now);
+        pool_.note_syn(*upstream, now);
         record.upstream = upstream->record.id;
         record.counted = true;
         record.sent = now;
@@ -218,7 +218,7 @@
     record.seen = now;
     if (record.phase == flow_phase::opening)
     {
-        take_answer(packet, record);
+        take_answer(packet, record, now);
     }
     const auto* upstream = pool_.find(record.upstream);
     if (packet.fin || packet.rst)
@@ -232,14 +232,15 @@
 }
 
 // The token tells which of several upstreams that got the SYN has answered.
-void token_router::take_answer(const token_packet& packet, flow_record& record)
+void token_router::take_answer(const token_packet& packet, flow_record& record,
+                               time_point now)
 {
     auto* placed = pool_.find(record.upstream);
     auto* answered =
         packet.token == 0 ? placed : pool_.find_token(packet.token);
     if (answered == nullptr || answered == placed)
     {
-        upstream_pool::note_answer(*placed, record.sent);
+        pool_.note_answer(*placed, record.sent, now);
         record.phase = flow_phase::open;
         return;
     }
--- a/src/coordination/token_router.hpp
+++ b/src/coordination/token_router.hpp
@@ -78,7 +78,8 @@
                          forward_reason reason, time_point now);
     token_decision continue_flow(const token_packet& packet, time_point now);
     token_decision drop(token_drop reason);
-    void take_answer(const token_packet& packet, flow_record& record);
+    void take_answer(const token_packet& packet, flow_record& record,
+                     time_point now);
     void give_up(flow_record& record, time_point now);
     void release(flow_record& record);
     const std::string& service_of(const route_target& target,
--- a/src/coordination/token_router_types.hpp
+++ b/src/coordination/token_router_types.hpp
@@ -100,6 +100,12 @@
     /// First and longest time without new flows after an unanswered SYN.
     duration first_suspension{std::chrono::milliseconds(500)};
     duration longest_suspension{std::chrono::seconds(4)};
+    /// As many upstreams of a data centre that are silent at once, with no
+    /// answer from it since, make the whole data centre a suspect.
+    std::size_t silent_upstreams{2};
+    /// One flow probes a data centre after its suspension; further ones wait
+    /// this long for its answer.
+    duration probe_wait{std::chrono::milliseconds(250)};
     /// A SYN that was not answered is forgotten after this time; callers give
     /// up before.
     duration handshake_timeout{std::chrono::milliseconds(1600)};
--- a/src/coordination/upstream_pool.cpp
+++ b/src/coordination/upstream_pool.cpp
@@ -61,7 +61,9 @@
     }
     target.record = record;
     target.token = token;
-    target.remote = hash_text(record.data_centre) != settings_.data_centre;
+    target.data_centre = hash_text(record.data_centre);
+    target.remote = target.data_centre != settings_.data_centre;
+    data_centres_.try_emplace(target.data_centre);
     target.warm_at = now + std::chrono::milliseconds(record.warmup_left_ms);
     const auto [holder, added] = by_token_.emplace(token, record.id);
     target.token_taken = !added && holder->second != record.id;
@@ -84,15 +86,55 @@
                                           : find(former->second.upstream);
 }
 
+bool upstream_pool::is_silent(const member& candidate, time_point now) const
+{
+    const bool unanswered =
+        !candidate.unanswered.empty() &&
+        now - candidate.unanswered.front() > settings_.handshake_limit;
+    return unanswered || now < candidate.suspended_until;
+}
+
+// An upstream counts only if its data centre has not answered since it became
+// silent.
+void upstream_pool::watch_data_centres(time_point now)
+{
+    for (auto& [id, site] : data_centres_)
+    {
+        site.silent = 0;
+    }
+    for (const auto& [id, known] : members_)
+    {
+        auto& site = data_centres_.at(known.data_centre);
+        const bool silent =
+            is_silent(known, now) && known.silent_since > site.last_answer;
+        site.silent += silent ? 1 : 0;
+    }
+    for (auto& [id, site] : data_centres_)
+    {
+        if (site.silent >= settings_.silent_upstreams &&
+            now >= site.suspended_until)
+        {
+            site.suspended_until = now + backoff(site.failures);
+            ++site.failures;
+        }
+    }
+}
+
+duration upstream_pool::backoff(std::uint32_t failures) const
+{
+    constexpr std::uint32_t most_doublings = 8;
+    const auto doublings = std::min(failures, most_doublings);
+    return std::min<duration>(settings_.first_suspension * (1 << doublings),
+                              settings_.longest_suspension);
+}
+
 double upstream_pool::cost(const member& candidate, time_point now) const
 {
     double total = candidate.open;
     total += candidate.remote ? settings_.remote_penalty : 0.0;
     total += now < candidate.warm_at ? settings_.cold_penalty : 0.0;
-    const bool silent =
-        !candidate.unanswered.empty() &&
-        now - candidate.unanswered.front() > settings_.handshake_limit;
-    if (silent || now < candidate.suspended_until)
+    const auto& site = data_centres_.at(candidate.data_centre);
+    if (is_silent(candidate, now) || now < site.suspended_until)
     {
         total += suspect_cost;
     }
@@ -109,6 +151,7 @@
     {
         return nullptr;
     }
+    watch_data_centres(now);
     member* best = nullptr;
     double best_cost = 0.0;
     std::uint64_t best_score = 0;
@@ -138,37 +181,69 @@
 
 void upstream_pool::note_syn(member& target, time_point now)
 {
+    if (target.unanswered.empty() && target.failures == 0)
+    {
+        target.silent_since = now;
+    }
     target.unanswered.push_back(now);
     ++target.open;
+    auto& site = data_centres_.at(target.data_centre);
+    if (site.failures > 0 && now >= site.suspended_until)
+    {
+        site.suspended_until = now + settings_.probe_wait;
+    }
 }
 
-void upstream_pool::note_answer(member& target, time_point sent)
+void upstream_pool::note_answer(member& target, time_point sent, time_point now)
 {
-    const auto found =
-        std::find(target.unanswered.begin(), target.unanswered.end(), sent);
+    const auto found = std::find(target.unanswered.begin(),
+                                 target.unanswered.end(), sent);
     if (found != target.unanswered.end())
     {
         target.unanswered.erase(found);
     }
     target.failures = 0;
     target.suspended_until = {};
+    if (!target.unanswered.empty())
+    {
+        target.silent_since = target.unanswered.front();
+    }
+    auto& site = data_centres_.at(target.data_centre);
+    site.last_answer = now;
+    if (site.failures > 0)
+    {
+        site.failures = 0;
+        site.suspended_until = {};
+        end_suspensions(target.data_centre);
+    }
+}
+
+// Upstreams of a data centre that was cut off were silent for that reason.
+void upstream_pool::end_suspensions(std::uint64_t data_centre)
+{
+    for (auto& [id, known] : members_)
+    {
+        if (known.data_centre == data_centre)
+        {
+            known.suspended_until = {};
+            known.failures = 0;
+        }
+    }
 }
 
 void upstream_pool::note_silence(member& target, time_point sent,
                                  time_point now)
 {
-    const auto found =
-        std::find(target.unanswered.begin(), target.unanswered.end(), sent);
+    const auto found = std::find(target.unanswered.begin(),
+                                 target.unanswered.end(), sent);
     if (found == target.unanswered.end())
     {
         return;
     }
     target.unanswered.erase(found);
-    const auto doublings = std::min<std::uint32_t>(target.failures, 8);
+    target.suspended_until =
+        std::max(target.suspended_until, now + backoff(target.failures));
     ++target.failures;
-    const auto pause = std::min(settings_.first_suspension * (1 << doublings),
-                                settings_.longest_suspension);
-    target.suspended_until = std::max(target.suspended_until, now + pause);
 }
 
 void upstream_pool::expire(time_point now)
--- a/src/coordination/upstream_pool.hpp
+++ b/src/coordination/upstream_pool.hpp
@@ -22,13 +22,15 @@
     {
         registered_upstream record;
         routing_token token{0};
-        bool remote{false}; ///< in another data centre
+        std::uint64_t data_centre{0}; ///< hash of the name
+        bool remote{false};           ///< in another data centre
         bool token_taken{false};
         time_point warm_at;
         std::uint32_t open{0}; ///< flows from here that have not ended
         /// When SYNs were sent that no packet has followed yet, oldest first.
         std::deque<time_point> unanswered;
         std::uint32_t failures{0}; ///< unanswered SYNs in a row
+        time_point silent_since;   ///< the first SYN that is not answered
         time_point suspended_until;
     };
 
@@ -56,10 +58,10 @@
                    std::uint32_t& candidates);
 
     /// A SYN was sent.
-    static void note_syn(member& target, time_point now);
+    void note_syn(member& target, time_point now);
 
     /// A packet followed a SYN that was sent at this time: it was answered.
-    static void note_answer(member& target, time_point sent);
+    void note_answer(member& target, time_point sent, time_point now);
 
     /// A SYN that was sent at this time was not answered.
     void note_silence(member& target, time_point sent, time_point now);
@@ -76,11 +78,26 @@
         time_point until;
     };
 
+    /// What is known about all upstreams of a data centre together: while it
+    /// is cut off none of them answers.
+    struct data_centre_state
+    {
+        time_point last_answer;
+        time_point suspended_until;
+        std::uint32_t failures{0}; ///< suspensions in a row
+        std::size_t silent{0};     ///< upstreams, counted by watch()
+    };
+
     void take(const registered_upstream& record, time_point now);
+    bool is_silent(const member& candidate, time_point now) const;
+    void watch_data_centres(time_point now);
+    void end_suspensions(std::uint64_t data_centre);
+    duration backoff(std::uint32_t failures) const;
     double cost(const member& candidate, time_point now) const;
 
     token_router_settings settings_;
     std::map<std::uint64_t, member> members_;
+    std::map<std::uint64_t, data_centre_state> data_centres_;
     std::map<std::string, std::vector<std::uint64_t>> by_service_;
     std::unordered_map<routing_token, std::uint64_t> by_token_;
     std::unordered_map<routing_token, former_token> former_tokens_;
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -46,7 +46,8 @@
                    const control_node_settings& settings, fleet_log& log,
                    std::function<void(std::optional<error>)> stop)
 {
-    auto disk = replica::replica_disk::open(settings.data_directory);
+    auto disk = replica::replica_disk::open(settings.data_directory +
+                                            "/replica");
     if (!disk)
     {
         return tl::unexpected(disk.error());
@@ -60,9 +61,14 @@
             return tl::unexpected(created.error());
         }
     }
+    auto files = state::file_disk::open(settings.data_directory + "/registry");
+    if (!files)
+    {
+        return tl::unexpected(files.error());
+    }
     std::unique_ptr<control_node> node(
         new control_node(loop, timers, settings, log, std::move(stop),
-                         std::move(*disk)));
+                         std::move(*disk), std::move(*files)));
     return node->start().map([&] { return std::move(node); });
 }
 
@@ -71,7 +77,8 @@
                            const control_node_settings& settings,
                            fleet_log& log,
                            std::function<void(std::optional<error>)> stop,
-                           std::unique_ptr<replica::replica_disk> disk)
+                           std::unique_ptr<replica::replica_disk> disk,
+                           std::unique_ptr<state::file_disk> files)
     : loop_(loop)
     , timers_(timers)
     , settings_(settings)
@@ -92,6 +99,7 @@
                 *runner_, timers, peers_, log)
     , group_({*runner_, founding_, members_, timers, log})
     , registry_(settings.registry)
+    , store_(std::move(files))
     , directory_(registry_, timers, random_number(),
                  [this] { return describe(); })
     , started_(timers.now())
@@ -116,6 +124,7 @@
         return tl::unexpected(server.error());
     }
     server_ = std::move(*server);
+    load_registry();
     founding_.start();
     follow_members();
     ticks_ = timers_.every(tick_interval, [this](time_point now) { tick(now); });
@@ -150,6 +159,7 @@
     follow_members();
     expire(now);
     remove_silent_member(now);
+    save_registry(now);
     const bool current = is_current();
     if (current != current_)
     {
@@ -235,6 +245,40 @@
     }
 }
 
+// Upstreams announce themselves again, so a loss of this file costs only the
+// time of a heartbeat.
+void control_node::load_registry()
+{
+    const auto records = store_.load();
+    if (!records)
+    {
+        log_.request_failed("registry file", records.error());
+        return;
+    }
+    for (const auto& record : *records)
+    {
+        registry_.apply(record, timers_.now());
+        log_.upstream_changed(record, "disk");
+    }
+    saved_cursor_ = registry_.cursor();
+}
+
+void control_node::save_registry(time_point now)
+{
+    const bool due = now - saved_at_ >= registry_save_interval;
+    if (!due || saved_cursor_ == registry_.cursor())
+    {
+        return;
+    }
+    saved_at_ = now;
+    saved_cursor_ = registry_.cursor();
+    const auto saved = store_.save(registry_.changes_since(0, now));
+    if (!saved)
+    {
+        log_.request_failed("registry file", saved.error());
+    }
+}
+
 // Without contact to a majority the silence may be this instance's own.
 void control_node::expire(time_point now)
 {
@@ -476,7 +520,8 @@
     log_.identity_retired(runner_->node().self());
     std::error_code fault;
     for (const auto& file :
-         std::filesystem::directory_iterator(settings_.data_directory, fault))
+         std::filesystem::directory_iterator(
+             settings_.data_directory + "/replica", fault))
     {
         std::filesystem::remove(file.path(), fault);
     }
--- a/src/fleet/control_node.hpp
+++ b/src/fleet/control_node.hpp
@@ -3,6 +3,7 @@
 #include "fleet/directory_server.hpp"
 #include "fleet/directory_client.hpp"
 #include "fleet/plan_machine.hpp"
+#include "fleet/registry_store.hpp"
 
 #include <functional>
 #include <map>
@@ -93,7 +94,8 @@
     control_node(transport::main_loop& loop, transport::timer_service& timers,
                  const control_node_settings& settings, fleet_log& log,
                  std::function<void(std::optional<error>)> stop,
-                 std::unique_ptr<replica::replica_disk> disk);
+                 std::unique_ptr<replica::replica_disk> disk,
+                 std::unique_ptr<state::file_disk> files);
 
     result<void> start();
     void handle(const transport::http_request& request,
@@ -104,6 +106,8 @@
     void take(const coordination::directory_reply& reply);
     void remove_silent_member(time_point now);
     void expire(time_point now);
+    void load_registry();
+    void save_registry(time_point now);
     void confirm_leave(std::uint64_t upstream, std::uint64_t sequence,
                        done_callback callback);
     void answer_confirmed();
@@ -125,6 +129,9 @@
     replica::group_founding founding_;
     replica::group_api group_;
     coordination::upstream_registry registry_;
+    registry_store store_;
+    std::uint64_t saved_cursor_{0};
+    time_point saved_at_{};
     directory_server directory_;
     std::map<transport::endpoint, std::unique_ptr<directory_client>> followed_;
     std::map<std::uint64_t, pending_leave> leaves_;
--- a/src/fleet/directory_subscription.cpp
+++ b/src/fleet/directory_subscription.cpp
@@ -24,8 +24,7 @@
 void directory_subscription::connect(std::string_view reason)
 {
     switch_.cancel();
-    log_.lifecycle("directory_source",
-                   transport::to_string(source()) + " " + std::string(reason));
+    log_.source_changed(source(), reason, timers_.now());
     client_ = std::make_unique<directory_client>(
         loop_, timers_, source(),
         directory_client::hooks{
--- a/src/fleet/fleet_log.cpp
+++ b/src/fleet/fleet_log.cpp
@@ -241,6 +241,18 @@
                });
 }
 
+void fleet_log::source_changed(const transport::endpoint& source,
+                               std::string_view reason, time_point now)
+{
+    log_.write_limited(log_level::info, transport::to_string(source), now,
+                       [&]
+                       {
+                           return log_line("directory_source")
+                               .with("source", transport::to_string(source))
+                               .with("reason", reason);
+                       });
+}
+
 void fleet_log::plan_in_force(std::uint64_t version, std::uint64_t former,
                               std::size_t routes,
                               const transport::endpoint& source)
--- a/src/fleet/fleet_log.hpp
+++ b/src/fleet/fleet_log.hpp
@@ -52,6 +52,10 @@
     void contact_changed(std::string_view role, const transport::endpoint& peer,
                          bool in_contact, std::string_view reason);
 
+    /// Another control instance is asked; at a bounded rate.
+    void source_changed(const transport::endpoint& source,
+                        std::string_view reason, time_point now);
+
     /// Another plan is in force at this entry instance.
     void plan_in_force(std::uint64_t version, std::uint64_t former,
                        std::size_t routes, const transport::endpoint& source);
--- a/src/fleet/fleet_times.hpp
+++ b/src/fleet/fleet_times.hpp
@@ -42,4 +42,8 @@
 /// answered serves with an unconfirmed plan after this time.
 constexpr duration ready_without_contact = std::chrono::seconds(3);
 
+/// Shortest time between two saves of the registry of upstreams; each waits for
+/// the disk.
+constexpr duration registry_save_interval = std::chrono::seconds(4);
+
 } // namespace boragestand::fleet
