Let entry instances wait for contact; begin again after a retired identity

Cause: after a power loss entry instances changed their control instance with each reply that was not current, which kept their small processors busy; a control instance that was frozen for 7 s right after the start was taken for one with a successor, removed, and left its process to come back. Ruled out: the election itself (leader 0.12 s after the third member).

--- a/src/boragestand-control/control_program.cpp
+++ b/src/boragestand-control/control_program.cpp
@@ -74,10 +74,11 @@
     }
     if (replica::instance_of((*disk)->self()) != settings.instance.id)
     {
-        return failure(error_kind::invalid_settings,
-                       "data directory " + settings.data_directory +
-                           " belongs to instance " +
-                           std::to_string(replica::instance_of((*disk)->self())));
+        return failure(
+            error_kind::invalid_settings,
+            "data directory " + settings.data_directory +
+                " belongs to instance " +
+                std::to_string(replica::instance_of((*disk)->self())));
     }
     std::unique_ptr<control_program> program(new control_program(
         loop, timers, settings, *endpoints, std::move(*disk), log));
--- a/src/coordination/agreement_election.cpp
+++ b/src/coordination/agreement_election.cpp
@@ -11,10 +11,10 @@
 void agreement_election::restart_timeout(time_point now)
 {
     const auto& settings = core_.settings();
-    const duration least =
-        leader_known_ ? settings.election_timeout
-                      : settings.first_election_timeout.value_or(
-                            settings.election_timeout);
+    const duration least = leader_known_
+                               ? settings.election_timeout
+                               : settings.first_election_timeout.value_or(
+                                     settings.election_timeout);
     const auto extra = random_.below(static_cast<std::uint64_t>(least.count()));
     deadline_ = now + least + duration(static_cast<duration::rep>(extra));
 }
--- a/src/coordination/directory_messages.cpp
+++ b/src/coordination/directory_messages.cpp
@@ -46,7 +46,8 @@
     static auto tie(auto& value)
     {
         return std::tie(value.from_replica, value.sender, value.epoch,
-                        value.cursor, value.plan_version, value.load);
+                        value.cursor, value.plan_version, value.wants_current,
+                        value.load);
     }
 };
 
--- a/src/coordination/directory_messages.hpp
+++ b/src/coordination/directory_messages.hpp
@@ -28,7 +28,9 @@
     std::uint64_t epoch{0};        ///< of the last reply; 0: none
     std::uint64_t cursor{0};       ///< of the last reply
     std::uint64_t plan_version{0}; ///< version that the sender holds
-    entry_load load;               ///< of an entry instance
+    /// The last reply was not current: one that is should come at once.
+    bool wants_current{false};
+    entry_load load; ///< of an entry instance
 
     auto operator<=>(const directory_request&) const = default;
 };
--- a/src/coordination/upstream_pool.cpp
+++ b/src/coordination/upstream_pool.cpp
@@ -196,8 +196,8 @@
 
 void upstream_pool::note_answer(member& target, time_point sent, time_point now)
 {
-    const auto found = std::find(target.unanswered.begin(),
-                                 target.unanswered.end(), sent);
+    const auto found =
+        std::find(target.unanswered.begin(), target.unanswered.end(), sent);
     if (found != target.unanswered.end())
     {
         target.unanswered.erase(found);
@@ -234,8 +234,8 @@
 void upstream_pool::note_silence(member& target, time_point sent,
                                  time_point now)
 {
-    const auto found = std::find(target.unanswered.begin(),
-                                 target.unanswered.end(), sent);
+    const auto found =
+        std::find(target.unanswered.begin(), target.unanswered.end(), sent);
     if (found == target.unanswered.end())
     {
         return;
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr duration tick_interval = std::chrono::milliseconds(250);
+constexpr duration tick_interval = std::chrono::milliseconds(100);
 
 std::uint64_t random_number()
 {
@@ -46,8 +46,8 @@
                    const control_node_settings& settings, fleet_log& log,
                    std::function<void(std::optional<error>)> stop)
 {
-    auto disk = replica::replica_disk::open(settings.data_directory +
-                                            "/replica");
+    auto disk =
+        replica::replica_disk::open(settings.data_directory + "/replica");
     if (!disk)
     {
         return tl::unexpected(disk.error());
@@ -95,7 +95,11 @@
                 {.founders = founders_of(settings.seeds),
                  .may_found = settings.may_found,
                  .joins_alone = true,
-                 .retired = [this] { retire(); }},
+                 .retired =
+                     [this]
+                 {
+                     retire();
+                 }},
                 *runner_, timers, peers_, log)
     , group_({*runner_, founding_, members_, timers, log})
     , registry_(settings.registry)
@@ -127,7 +131,8 @@
     load_registry();
     founding_.start();
     follow_members();
-    ticks_ = timers_.every(tick_interval, [this](time_point now) { tick(now); });
+    ticks_ =
+        timers_.every(tick_interval, [this](time_point now) { tick(now); });
     return {};
 }
 
@@ -141,8 +146,8 @@
     if (request.method != "POST" || request.path != "/v1/directory")
     {
         answer->respond(state::to_http(
-            error{error_kind::not_found, request.method + " " + request.path +
-                                             ": no such request"}));
+            error{error_kind::not_found,
+                  request.method + " " + request.path + ": no such request"}));
         return;
     }
     const auto handled = directory_.handle(request, answer);
@@ -166,6 +171,7 @@
         current_ = current;
         log_.contact_changed("group", settings_.address, current,
                              current ? "majority" : "no majority");
+        directory_.publish();
     }
 }
 
@@ -215,7 +221,10 @@
             },
             [this](const coordination::directory_reply& reply, bool)
             { take(reply); },
-            [](const error&) { return true; }});
+            [](const error&)
+            {
+                return true;
+            }});
     auto& added = followed_[member];
     added = std::move(client);
     added->start();
@@ -359,8 +368,7 @@
                               std::optional<std::uint64_t> incarnation,
                               done_callback callback)
 {
-    const auto outcome =
-        registry_.leave(upstream, incarnation, timers_.now());
+    const auto outcome = registry_.leave(upstream, incarnation, timers_.now());
     if (outcome == coordination::registration::changed)
     {
         log_.upstream_changed(*registry_.find(upstream), "upstream");
@@ -412,10 +420,9 @@
     auto& leave = done.mapped();
     log_.leave_answered(leave.upstream, leave.sequence, confirmed,
                         timers_.now() - leave.started);
-    leave.callback(confirmed
-                       ? result<void>{}
-                       : failure(error_kind::no_quorum,
-                                 "no majority has confirmed the leave"));
+    leave.callback(confirmed ? result<void>{}
+                             : failure(error_kind::no_quorum,
+                                       "no majority has confirmed the leave"));
 }
 
 void control_node::submit(state::submitted_plan plan, done_callback callback)
@@ -439,8 +446,7 @@
     }
     runner_->submit(state::encode_plan(plan),
                     [this, callback = std::move(callback)](
-                        const result<std::uint64_t>& index)
-                    {
+                        const result<std::uint64_t>& index) {
                         runner_->defer([callback, index]
                                        { callback(index.map([](auto) {})); });
                     });
@@ -454,8 +460,8 @@
         return;
     }
     runner_->read(
-        [this, callback = std::move(callback)](
-            const result<std::uint64_t>& index)
+        [this,
+         callback = std::move(callback)](const result<std::uint64_t>& index)
         {
             if (!index)
             {
@@ -492,15 +498,19 @@
     {
         return;
     }
-    const bool joined_lately =
-        group_index_ > 0 && now - group_changed_ <= join_memory;
     const auto silent = coordination::member_to_remove(
-        node.group(), node.silences(now),
-        joined_lately ? replaced_member_silence : lost_member_silence);
+        node.group(), node.silences(now), replaced_member_silence);
     if (!silent)
     {
         return;
     }
+    const bool has_successor =
+        group_index_ > 0 &&
+        silent->silence + successor_delay >= now - group_changed_;
+    if (!has_successor && silent->silence < lost_member_silence)
+    {
+        return;
+    }
     removing_ = true;
     log_.member_removed(silent->id, silent->silence);
     runner_->change(coordination::remove_replica{silent->id},
@@ -519,14 +529,13 @@
 {
     log_.identity_retired(runner_->node().self());
     std::error_code fault;
-    for (const auto& file :
-         std::filesystem::directory_iterator(
+    for (const auto& file : std::filesystem::directory_iterator(
              settings_.data_directory + "/replica", fault))
     {
         std::filesystem::remove(file.path(), fault);
     }
-    stop_(fault ? std::optional(error{error_kind::storage_failure,
-                                      fault.message()})
+    stop_(fault ? std::optional(
+                      error{error_kind::storage_failure, fault.message()})
                 : std::nullopt);
 }
 
--- a/src/fleet/control_node.hpp
+++ b/src/fleet/control_node.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "fleet/directory_server.hpp"
 #include "fleet/directory_client.hpp"
+#include "fleet/directory_server.hpp"
 #include "fleet/plan_machine.hpp"
 #include "fleet/registry_store.hpp"
 
--- a/src/fleet/directory_client.cpp
+++ b/src/fleet/directory_client.cpp
@@ -23,6 +23,7 @@
     auto request = hooks_.request();
     request.epoch = epoch_;
     request.cursor = cursor_;
+    request.wants_current = !request.from_replica && !current_;
     client_.request({.method = "POST",
                      .path = "/v1/directory",
                      .headers = {},
@@ -55,6 +56,7 @@
     const bool whole = reply->epoch != epoch_;
     epoch_ = reply->epoch;
     cursor_ = reply->cursor;
+    current_ = reply->current;
     last_reply_ = timers_.now();
     // The callback may replace this client, so it runs last on its own turn.
     retry_ = timers_.after(duration(0), [this](time_point) { ask(); });
--- a/src/fleet/directory_client.hpp
+++ b/src/fleet/directory_client.hpp
@@ -15,7 +15,7 @@
     /// Where the client takes its requests from and reports to.
     struct hooks
     {
-        /// Fields of the next request but epoch and cursor.
+        /// The next request; the client fills in what it knows of its replies.
         std::function<coordination::directory_request()> request;
         /// A reply came; whole says that it holds all records.
         std::function<void(const coordination::directory_reply&, bool whole)>
@@ -48,6 +48,7 @@
     transport::subscription retry_;
     std::uint64_t epoch_{0};
     std::uint64_t cursor_{0};
+    bool current_{false};
     std::optional<time_point> last_reply_;
 };
 
--- a/src/fleet/directory_server.cpp
+++ b/src/fleet/directory_server.cpp
@@ -76,10 +76,10 @@
 bool directory_server::has_news(const directory_request& request,
                                 const view& now) const
 {
-    const bool newer_plan = !request.from_replica &&
-                            now.plan->plan.version > request.plan_version;
+    const bool newer_plan =
+        !request.from_replica && now.plan->plan.version > request.plan_version;
     return request.epoch != epoch_ || request.cursor < registry_.cursor() ||
-           newer_plan;
+           newer_plan || (request.wants_current && now.current);
 }
 
 void directory_server::reply(const directory_request& request,
--- a/src/fleet/directory_subscription.cpp
+++ b/src/fleet/directory_subscription.cpp
@@ -8,6 +8,15 @@
 namespace boragestand::fleet
 {
 
+namespace
+{
+
+// The first reply comes at once and the second after directory_wait, unless the
+// control instance gets in contact with its group before.
+constexpr std::size_t stale_reply_limit = 1;
+
+} // namespace
+
 directory_subscription::directory_subscription(
     transport::main_loop& loop, transport::timer_service& timers,
     std::vector<transport::endpoint> controls, std::size_t first,
@@ -43,6 +52,7 @@
 void directory_subscription::move_on(std::string_view reason)
 {
     ++failures_;
+    stale_replies_ = 0;
     if (in_contact_)
     {
         in_contact_ = false;
@@ -51,9 +61,8 @@
     position_ = (position_ + 1) % controls_.size();
     const bool whole_round = failures_ % controls_.size() == 0;
     const auto pause = whole_round ? directory_retry : duration(0);
-    switch_ = timers_.after(pause,
-                            [this, text = std::string(reason)](time_point)
-                            { connect(text); });
+    switch_ = timers_.after(pause, [this, text = std::string(reason)](
+                                       time_point) { connect(text); });
 }
 
 void directory_subscription::take(const coordination::directory_reply& reply,
@@ -65,12 +74,14 @@
     take_controls(reply.controls);
     if (!reply.current)
     {
-        if (controls_.size() > 1)
+        ++stale_replies_;
+        if (controls_.size() > 1 && stale_replies_ > stale_reply_limit)
         {
             move_on("not in contact with its group");
         }
         return;
     }
+    stale_replies_ = 0;
     last_current_ = timers_.now();
     failures_ = 0;
     if (!in_contact_)
--- a/src/fleet/directory_subscription.hpp
+++ b/src/fleet/directory_subscription.hpp
@@ -30,8 +30,7 @@
     directory_subscription(transport::main_loop& loop,
                            transport::timer_service& timers,
                            std::vector<transport::endpoint> controls,
-                           std::size_t first, fleet_log& log,
-                           hooks callbacks);
+                           std::size_t first, fleet_log& log, hooks callbacks);
 
     /// Starts to ask.
     void start() { connect("start"); }
@@ -62,7 +61,8 @@
     transport::subscription switch_;
     std::optional<time_point> last_current_;
     std::optional<time_point> last_reply_;
-    std::size_t failures_{0}; ///< in a row, of different instances
+    std::size_t failures_{0};      ///< in a row, of different instances
+    std::size_t stale_replies_{0}; ///< in a row, of the present instance
     bool in_contact_{false};
 };
 
--- a/src/fleet/fleet_log.cpp
+++ b/src/fleet/fleet_log.cpp
@@ -281,11 +281,11 @@
 
 void fleet_log::identity_retired(replica_id self)
 {
-    log_.write(log_level::warn,
-               [&] {
-                   return log_line("identity_retired")
-                       .with("replica", text_of(self));
-               });
+    log_.write(
+        log_level::warn,
+        [&] {
+            return log_line("identity_retired").with("replica", text_of(self));
+        });
 }
 
 void fleet_log::lifecycle(std::string_view event, std::string_view detail)
--- a/src/fleet/fleet_times.hpp
+++ b/src/fleet/fleet_times.hpp
@@ -33,10 +33,12 @@
 /// longer than the freezes and cuts that an instance comes back from.
 constexpr duration lost_member_silence = std::chrono::seconds(10);
 
-/// The same while a new member has joined within join_memory: it is the
+/// The same if a member has joined since, or shortly before: it is then the
 /// successor of one that is gone.
 constexpr duration replaced_member_silence = std::chrono::seconds(3);
-constexpr duration join_memory = std::chrono::seconds(20);
+
+/// A planned successor joins up to this long before its predecessor stops.
+constexpr duration successor_delay = std::chrono::seconds(4);
 
 /// An entry instance that no control instance in contact with its group has
 /// answered serves with an unconfirmed plan after this time.
--- a/src/replica/group_founding.cpp
+++ b/src/replica/group_founding.cpp
@@ -20,8 +20,7 @@
 } // namespace
 
 group_founding::group_founding(std::uint32_t self,
-                               const transport::endpoint& address,
-                               policy rules,
+                               const transport::endpoint& address, policy rules,
                                replica_runner& host,
                                transport::timer_service& timers,
                                peer_link& peers, replica_log& log)
@@ -133,8 +132,9 @@
 
 void group_founding::found_if_complete()
 {
-    if (!policy_.may_found || !is_decider() || new_founders_.size() + 1 != policy_.founders.size() ||
-        is_member() || host_.node().last().index > 0)
+    if (!policy_.may_found || !is_decider() ||
+        new_founders_.size() + 1 != policy_.founders.size() || is_member() ||
+        host_.node().last().index > 0)
     {
         return;
     }
--- a/src/replica/member_service.hpp
+++ b/src/replica/member_service.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "replica/replica_log.hpp"
 #include "replica/founding_status.hpp"
+#include "replica/replica_log.hpp"
 #include "replica/replica_runner.hpp"
 
 #include <memory>
@@ -17,8 +17,7 @@
 public:
     using exchange = std::shared_ptr<transport::http_exchange>;
 
-    member_service(replica_runner& host, peer_link& peers,
-                   replica_log& log);
+    member_service(replica_runner& host, peer_link& peers, replica_log& log);
 
     /// Runs the change; the answer comes once it is committed.
     void handle(const transport::http_request& request, const exchange& answer);
--- a/src/settings/fleet_settings.cpp
+++ b/src/settings/fleet_settings.cpp
@@ -43,19 +43,18 @@
 
 void read_seeds(mapping_reader& root, fleet_settings& settings)
 {
-    root.read_list("seeds", presence::required,
-                   [&](const YAML::Node& node, const std::string& path)
-                   {
-                       const auto text =
-                           node.IsScalar() ? node.Scalar() : std::string();
-                       if (const auto expected = check_endpoint(text))
-                       {
-                           root.add_fault("seeds", path + ": expected " +
-                                                       *expected);
-                           return;
-                       }
-                       settings.seeds.push_back(text);
-                   });
+    root.read_list(
+        "seeds", presence::required,
+        [&](const YAML::Node& node, const std::string& path)
+        {
+            const auto text = node.IsScalar() ? node.Scalar() : std::string();
+            if (const auto expected = check_endpoint(text))
+            {
+                root.add_fault("seeds", path + ": expected " + *expected);
+                return;
+            }
+            settings.seeds.push_back(text);
+        });
 }
 
 void check_roles(mapping_reader& root, const fleet_settings& settings)
