Drop connections that do not open in time or stay silent

Cause: after a power loss an entry instance waited a full second for a control instance that was not up yet, because the kernel repeats a lost opening packet after a second; a client kept a connection whose requests timed out. Ruled out: the election and the plan (in force 0.02 s after the election).

--- a/src/transport/http2_client.cpp
+++ b/src/transport/http2_client.cpp
@@ -26,6 +26,7 @@
     {
         std::weak_ptr<http2_client_connection> connection;
         std::int32_t stream{-1};
+        std::uint64_t received_before{0}; ///< bytes of the connection
         subscription timeout;
         http_response response;
         response_callback callback;
@@ -130,6 +131,23 @@
         finish(id, failure(kind, message));
     }
 
+    // A connection on which nothing has arrived meanwhile may be silent for
+    // good, so the next request gets a new one.
+    void time_out(std::uint64_t id)
+    {
+        const auto found = calls.find(id);
+        const auto connection =
+            found == calls.end() ? nullptr : found->second.connection.lock();
+        const bool silent = connection && connection->received_bytes() ==
+                                              found->second.received_before;
+        abort(id, error_kind::timeout,
+              to_string(remote) + " did not answer in time.");
+        if (silent && connection->is_open())
+        {
+            connection->drop();
+        }
+    }
+
     void add_chunk(std::uint64_t id, std::string_view bytes)
     {
         const auto found = calls.find(id);
@@ -200,6 +218,7 @@
                             to_string(remote) + " cannot be reached."});
             return;
         }
+        calls[id].received_before = connection->received_bytes();
         calls[id].connection = connection;
         calls[id].stream = stream;
     }
@@ -210,13 +229,8 @@
         const std::uint64_t id = next_call++;
         call& added = calls[id];
         added.callback = std::move(callback);
-        added.timeout = timers.after(timeout,
-                                     [this, id](time_point)
-                                     {
-                                         abort(id, error_kind::timeout,
-                                               to_string(remote) +
-                                                   " did not answer in time.");
-                                     });
+        added.timeout =
+            timers.after(timeout, [this, id](time_point) { time_out(id); });
         submit(id, std::move(request));
     }
 
--- a/src/transport/http2_client_connection.cpp
+++ b/src/transport/http2_client_connection.cpp
@@ -20,6 +20,10 @@
 constexpr int keepalive_interval_seconds = 2;
 constexpr int keepalive_probes = 3;
 
+// Some round trips between data centres. The kernel would repeat a lost opening
+// packet only after a second.
+constexpr duration connect_timeout = std::chrono::milliseconds(300);
+
 http2_client_connection* connection_of(void* user)
 {
     return static_cast<http2_client_connection*>(
@@ -105,6 +109,14 @@
     nghttp2_session_callbacks_del(callbacks);
     submit_settings(session);
     start(session);
+    connect_timeout_ = loop().schedule(connect_timeout, false,
+                                       [this]
+                                       {
+                                           if (is_connecting())
+                                           {
+                                               close();
+                                           }
+                                       });
 }
 
 std::int32_t http2_client_connection::submit(
--- a/src/transport/http2_client_connection.hpp
+++ b/src/transport/http2_client_connection.hpp
@@ -35,6 +35,9 @@
     /// Gives a request up; its callbacks do not run again.
     void cancel(std::int32_t stream);
 
+    /// Closes the connection on the next turn of the loop; open requests fail.
+    void drop() { close_later(); }
+
     /// Closes the connection without running callbacks of its requests.
     void abandon();
 
@@ -83,6 +86,7 @@
     endpoint remote_;
     closed_callback on_closed_;
     std::map<std::int32_t, std::shared_ptr<stream_state>> streams_;
+    subscription connect_timeout_;
     bool retired_{false};
 };
 
--- a/src/transport/http2_connection.cpp
+++ b/src/transport/http2_connection.cpp
@@ -109,6 +109,7 @@
         {
             return count < 0 && would_block();
         }
+        received_bytes_ += static_cast<std::uint64_t>(count);
         in_nghttp2_ = true;
         const ssize_t used = nghttp2_session_mem_recv(
             session_, buffer.data(), static_cast<std::size_t>(count));
--- a/src/transport/http2_connection.hpp
+++ b/src/transport/http2_connection.hpp
@@ -52,6 +52,9 @@
     /// Whether bytes wait because the peer does not read.
     bool is_blocked() const { return !unsent_.empty(); }
 
+    /// Bytes that have arrived since the start.
+    std::uint64_t received_bytes() const { return received_bytes_; }
+
     /// Whether the connection is not established yet.
     bool is_connecting() const { return connecting_; }
 
@@ -91,6 +94,7 @@
     bool in_nghttp2_{false};
     bool running_events_{false};
     std::string unsent_;
+    std::uint64_t received_bytes_{0};
     std::vector<std::function<void()>> events_;
 };
 
