Serve metrics and log to standard output without waiting

Each instance serves counters and latency histograms; lines go to standard output through a bounded buffer, and lines about flows have a budget, beyond which they are counted.

--- a/scripts/format.sh
+++ b/scripts/format.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.?pp' \
+mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.?pp' 'platform/*.?pp' \
     'tests/*.?pp')
 if [ ${#files[@]} -eq 0 ]; then
     exit 0
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -7,8 +7,8 @@
 if [ $# -gt 0 ]; then
     files=("$@")
 else
-    mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.cpp' 'platform/*.cpp' \
-        'tests/*.cpp')
+    mapfile -t files < <(git ls-files -co --exclude-standard 'src/*.cpp' \
+        'platform/*.cpp' 'tests/*.cpp')
 fi
 jobs=$(nproc)
 printf '%s\0' "${files[@]}" |
--- a/src/boragestand-entry/entry_metrics.cpp
+++ b/src/boragestand-entry/entry_metrics.cpp
@@ -1,5 +1,7 @@
 #include "entry_metrics.hpp"
 
+#include "base/metrics_text.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -13,27 +15,6 @@
 
 constexpr std::array<double, 5> probabilities{0.5, 0.75, 0.9, 0.95, 0.99};
 
-void append_header(std::string& text, const std::string& name,
-                   const std::string& help, const char* type)
-{
-    text += "# HELP " + name + ' ' + help + '\n';
-    text += "# TYPE " + name + ' ' + type + '\n';
-}
-
-void append_counter(std::string& text, const std::string& name,
-                    const std::string& help, std::uint64_t value)
-{
-    append_header(text, name, help, "counter");
-    text += name + ' ' + std::to_string(value) + '\n';
-}
-
-void append_gauge(std::string& text, const std::string& name,
-                  const std::string& help, std::uint64_t value)
-{
-    append_header(text, name, help, "gauge");
-    text += name + ' ' + std::to_string(value) + '\n';
-}
-
 template <typename Reason>
 void append_by_reason(std::string& text, const std::string& name,
                       const std::string& help,
--- a/src/coordination/token_router.cpp
+++ b/src/coordination/token_router.cpp
@@ -223,6 +223,10 @@
     const auto* upstream = pool_.find(record.upstream);
     if (packet.fin || packet.rst)
     {
+        if (record.phase == flow_phase::open)
+        {
+            lifetimes_.add(now - record.sent);
+        }
         release(record);
         record.phase = flow_phase::ended;
     }
@@ -235,6 +239,7 @@
 void token_router::take_answer(const token_packet& packet, flow_record& record,
                                time_point now)
 {
+    handshakes_.add(now - record.sent);
     auto* placed = pool_.find(record.upstream);
     auto* answered =
         packet.token == 0 ? placed : pool_.find_token(packet.token);
--- a/src/coordination/token_router.hpp
+++ b/src/coordination/token_router.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/metrics_text.hpp"
 #include "coordination/upstream_pool.hpp"
 
 #include <memory>
@@ -43,6 +44,11 @@
     std::size_t upstream_count() const { return pool_.size(); }
     const token_router_counters& counters() const { return counters_; }
 
+    /// Times from a SYN to the next packet of its flow, and of whole flows, as
+    /// seen in the packets that pass here.
+    const duration_histogram& handshakes() const { return handshakes_; }
+    const duration_histogram& lifetimes() const { return lifetimes_; }
+
 private:
     enum class flow_phase : std::uint8_t
     {
@@ -92,6 +98,8 @@
     std::uint64_t plan_version_{0};
     std::optional<time_point> plan_confirmed_;
     token_router_counters counters_;
+    duration_histogram handshakes_;
+    duration_histogram lifetimes_;
 };
 
 } // namespace boragestand::coordination
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -418,6 +418,7 @@
         return;
     }
     auto& leave = done.mapped();
+    confirmations_.add(timers_.now() - leave.started);
     log_.leave_answered(leave.upstream, leave.sequence, confirmed,
                         timers_.now() - leave.started);
     leave.callback(confirmed ? result<void>{}
@@ -444,12 +445,15 @@
         callback({});
         return;
     }
-    runner_->submit(state::encode_plan(plan),
-                    [this, callback = std::move(callback)](
-                        const result<std::uint64_t>& index) {
-                        runner_->defer([callback, index]
-                                       { callback(index.map([](auto) {})); });
-                    });
+    runner_->submit(
+        state::encode_plan(plan),
+        [this, callback = std::move(callback),
+         started = timers_.now()](const result<std::uint64_t>& index)
+        {
+            submissions_.add(timers_.now() - started);
+            runner_->defer([callback, index]
+                           { callback(index.map([](auto) {})); });
+        });
 }
 
 void control_node::read(plan_callback callback)
@@ -484,6 +488,34 @@
                                                                : leader;
 }
 
+std::string control_node::metrics() const
+{
+    const auto& node = runner_->node();
+    std::string text;
+    append_gauge(text, "boragestand_leader", "1 if this instance leads",
+                 runner_->is_leader() ? 1 : 0);
+    append_gauge(text, "boragestand_current",
+                 "1 if in contact with a majority of the group",
+                 is_current() ? 1 : 0);
+    append_gauge(text, "boragestand_term", "Term of the group", node.term());
+    append_gauge(text, "boragestand_commit_index", "Last committed entry",
+                 node.commit_index());
+    append_gauge(text, "boragestand_members", "Members of the group",
+                 node.group().members.size());
+    append_gauge(text, "boragestand_plan_version",
+                 "Version of the plan in force", plan().version);
+    append_gauge(text, "boragestand_upstreams", "Upstreams known",
+                 registry_.size());
+    append_gauge(text, "boragestand_entries",
+                 "Entry instances that asked for the directory",
+                 directory_.entry_count());
+    submissions_.append_to(text, "boragestand_submission_seconds",
+                           "From a plan to its acknowledgement");
+    confirmations_.append_to(text, "boragestand_leave_seconds",
+                             "From the leave of an upstream to its answer");
+    return text;
+}
+
 // One removal at a time, and only while all other members answer, so that the
 // group stays large enough for the losses that it must bear.
 void control_node::remove_silent_member(time_point now)
--- a/src/fleet/control_node.hpp
+++ b/src/fleet/control_node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/metrics_text.hpp"
 #include "fleet/directory_client.hpp"
 #include "fleet/directory_server.hpp"
 #include "fleet/plan_machine.hpp"
@@ -78,6 +79,9 @@
     }
     const state::routing_plan& plan() const { return machine_.current()->plan; }
     const replica::replica_runner& runner() const { return *runner_; }
+
+    /// Metrics in the Prometheus text format.
+    std::string metrics() const;
     std::size_t entry_count() const { return directory_.entry_count(); }
 
 private:
@@ -141,6 +145,8 @@
     time_point started_;
     time_point group_changed_;
     std::uint64_t group_index_{0};
+    duration_histogram submissions_;
+    duration_histogram confirmations_;
     bool removing_{false};
     bool current_{false};
 };
--- a/src/fleet/entry_node.cpp
+++ b/src/fleet/entry_node.cpp
@@ -1,5 +1,6 @@
 #include "fleet/entry_node.hpp"
 
+#include "base/metrics_text.hpp"
 #include "fleet/fleet_times.hpp"
 
 namespace boragestand::fleet
@@ -112,4 +113,49 @@
     return last ? std::optional(now - *last) : std::nullopt;
 }
 
+std::string entry_node::metrics(time_point now) const
+{
+    const auto& counters = router_.counters();
+    std::string text;
+    append_counter(text, "boragestand_flows_placed_total",
+                   "New flows placed on an upstream", counters.placed);
+    append_counter(text, "boragestand_flows_placed_anew_total",
+                   "Repeated SYNs sent to another upstream",
+                   counters.placed_anew);
+    append_counter(text, "boragestand_syns_unanswered_total",
+                   "SYNs that no upstream answered", counters.unanswered);
+    append_counter(text, "boragestand_packets_by_flow_total",
+                   "Packets of flows that are known here", counters.by_flow);
+    append_counter(text, "boragestand_packets_by_token_total",
+                   "Packets sent on by their token", counters.by_token);
+    append_counter(text, "boragestand_resets_total",
+                   "SYNs to destinations without a route", counters.resets);
+    append_header(text, "boragestand_drops_total",
+                  "Packets dropped without an answer", "counter");
+    for (std::size_t i = 0; i < counters.drops.size(); ++i)
+    {
+        const auto reason = static_cast<coordination::token_drop>(i);
+        text += "boragestand_drops_total{reason=\"" +
+                std::string(coordination::to_text(reason)) + "\"} " +
+                std::to_string(counters.drops[i]) + '\n';
+    }
+    append_gauge(text, "boragestand_flows", "Flows known here",
+                 router_.flow_count());
+    append_gauge(text, "boragestand_upstreams", "Upstreams known",
+                 router_.upstream_count());
+    append_gauge(text, "boragestand_plan_version",
+                 "Version of the plan in force", router_.plan_version());
+    const auto age = directory_age(now).value_or(now - started_);
+    append_gauge(text, "boragestand_directory_age_milliseconds",
+                 "Time since a control instance replied",
+                 static_cast<std::uint64_t>(
+                     std::chrono::duration_cast<std::chrono::milliseconds>(age)
+                         .count()));
+    router_.handshakes().append_to(text, "boragestand_handshake_seconds",
+                                   "From a SYN to the next packet of its flow");
+    router_.lifetimes().append_to(text, "boragestand_flow_seconds",
+                                  "From the opening of a flow to its end");
+    return text;
+}
+
 } // namespace boragestand::fleet
--- a/src/fleet/entry_node.hpp
+++ b/src/fleet/entry_node.hpp
@@ -33,6 +33,9 @@
     /// or no control instance could confirm one within ready_without_contact.
     bool is_ready() const;
 
+    /// Metrics in the Prometheus text format.
+    std::string metrics(time_point now) const;
+
     /// Age of what is known, none before the first reply.
     std::optional<duration> directory_age(time_point now) const;
 
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -8,3 +8,4 @@
 #include "fleet/entry_node.hpp"
 #include "fleet/fleet_log.hpp"
 #include "fleet/fleet_times.hpp"
+#include "fleet/metrics_server.hpp"
--- a/src/settings/event_log.cpp
+++ b/src/settings/event_log.cpp
@@ -1,5 +1,6 @@
 #include "settings/event_log.hpp"
 
+#include "settings/bounded_output.hpp"
 #include "settings/key_value_layout.hpp"
 
 #include <log4cplus/config.hxx>
@@ -8,6 +9,8 @@
 #include <log4cplus/initializer.h>
 #include <log4cplus/logger.h>
 
+#include <unistd.h>
+
 #include <cerrno>
 #include <cstring>
 #include <fstream>
@@ -34,6 +37,28 @@
     return log4cplus::DEBUG_LOG_LEVEL;
 }
 
+// About a second of lines of a busy entry instance.
+constexpr std::size_t output_limit = 256 * 1024;
+
+/// Writes lines to standard output without ever waiting.
+class output_appender final : public log4cplus::Appender
+{
+public:
+    output_appender() : output_(STDOUT_FILENO, output_limit) {}
+    ~output_appender() override { destructorImpl(); }
+
+    void close() override { output_.flush(); }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override
+    {
+        output_.write(formatEvent(event));
+    }
+
+private:
+    bounded_output output_;
+};
+
 /// "instance=NAME", quoted like any other value.
 std::string instance_pair(std::string_view instance)
 {
@@ -43,6 +68,10 @@
 
 log4cplus::SharedAppenderPtr make_appender(const std::string& file)
 {
+    if (file == standard_output)
+    {
+        return log4cplus::SharedAppenderPtr(new output_appender());
+    }
     if (file.empty())
     {
         return log4cplus::SharedAppenderPtr(
@@ -63,7 +92,7 @@
 result<std::unique_ptr<event_log>> event_log::open(const log_settings& settings,
                                                    std::string_view instance)
 {
-    if (!settings.file.empty() &&
+    if (!settings.file.empty() && settings.file != standard_output &&
         !std::ofstream(settings.file, std::ios_base::app))
     {
         return failure(error_kind::invalid_settings,
--- a/src/settings/log_level.hpp
+++ b/src/settings/log_level.hpp
@@ -23,11 +23,15 @@
 /// The level with this name, or nothing.
 std::optional<log_level> log_level_named(std::string_view name);
 
+/// The file name that stands for standard output. Writing there never waits: a
+/// reader that stops costs lines, which are counted.
+constexpr std::string_view standard_output = "-";
+
 /// Where and how much a program logs.
 struct log_settings
 {
     log_level level{log_level::info};
-    std::string file; ///< empty for standard error
+    std::string file; ///< empty for standard error, "-" for standard output
 
     auto operator<=>(const log_settings&) const = default;
 };
