--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -119,7 +119,7 @@
         return started;
     }
     auto server = transport::http2_server::listen(
-        loop_, settings_.address,
+        loop_, settings_.listen,
         [this](const transport::http_request& request,
                const std::shared_ptr<transport::http_exchange>& exchange)
         { handle(request, exchange); });
--- a/src/fleet/control_node.hpp
+++ b/src/fleet/control_node.hpp
@@ -18,7 +18,8 @@
 /// How a control instance of a fleet is set up.
 struct control_node_settings
 {
-    transport::endpoint address; ///< of its HTTP/2 server for other instances
+    transport::endpoint address; ///< where other instances reach it
+    transport::endpoint listen;  ///< where its HTTP/2 server listens
     std::string data_directory;
     /// Instances to ask for the group, or the first group itself.
     std::vector<transport::endpoint> seeds;
--- a/src/settings/fleet_settings.cpp
+++ b/src/settings/fleet_settings.cpp
@@ -34,6 +34,7 @@
         reader->read_text(key, presence::optional, check_optional_endpoint,
                           target);
     };
+    read_optional("listen", settings.listen);
     read_optional("packets", settings.packets);
     read_optional("readiness", settings.readiness);
     read_optional("announcements", settings.announcements);
@@ -142,6 +143,7 @@
                  [&]
                  {
                      writer.pair("internal", settings.internal)
+                         .pair("listen", settings.listen)
                          .pair("packets", settings.packets)
                          .pair("readiness", settings.readiness)
                          .pair("announcements", settings.announcements)
--- a/src/settings/fleet_settings.hpp
+++ b/src/settings/fleet_settings.hpp
@@ -21,6 +21,9 @@
     std::string data_centre; ///< of the instance
     /// Where the instance talks to others; also its identity.
     std::string internal;
+    /// Where a control instance listens for others, if a proxy or an address
+    /// translation stands before internal; empty for internal itself.
+    std::string listen;
     std::string packets;       ///< of an entry instance, UDP
     std::string readiness;     ///< of an entry instance, HTTP/1.1
     std::string announcements; ///< of a control instance, HTTP/1.1
--- a/tests/fleet/fleet_group.cpp
+++ b/tests/fleet/fleet_group.cpp
@@ -69,6 +69,7 @@
     std::filesystem::create_directory(directory(number));
     control_node_settings settings;
     settings.address = address(number);
+    settings.listen = settings.address;
     settings.data_directory = directory(number);
     settings.seeds = seeds();
     settings.may_found = first_start;
