Forget upstreams that are gone

Cause: records of upstreams that had left stayed for good, and each placement looked at them. Before: the test forgets_upstreams_that_are_gone fails (2 upstreams known after 70 s); after: 1, and packets of such flows go by token or are dropped.

--- a/src/coordination/token_router.cpp
+++ b/src/coordination/token_router.cpp
@@ -99,32 +99,47 @@
     return open_flow(packet, now);
 }
 
+// A record whose upstream was forgotten says nothing any more.
+token_router::flow_record* token_router::find_flow(const token_flow& flow)
+{
+    const auto found = flows_.find(flow);
+    if (found == flows_.end())
+    {
+        return nullptr;
+    }
+    if (pool_.find(found->second.upstream) != nullptr)
+    {
+        return &found->second;
+    }
+    flows_.erase(found);
+    return nullptr;
+}
+
 token_decision token_router::open_flow(const token_packet& packet,
                                        time_point now)
 {
-    const auto found = flows_.find(packet.flow);
-    if (found == flows_.end() || found->second.sequence != packet.sequence)
+    auto* record = find_flow(packet.flow);
+    if (record == nullptr || record->sequence != packet.sequence)
     {
-        if (found != flows_.end())
+        if (record != nullptr)
         {
-            release(found->second);
-            flows_.erase(found);
+            release(*record);
+            flows_.erase(packet.flow);
         }
         flow_record added;
         added.sequence = packet.sequence;
         return place(packet, added, forward_reason::placed, now);
     }
-    auto& record = found->second;
-    record.seen = now;
-    if (record.phase != flow_phase::opening)
+    record->seen = now;
+    if (record->phase != flow_phase::opening)
     {
         // A late copy of a SYN that was answered.
-        auto* upstream = pool_.find(record.upstream);
-        return forward_packet{record.upstream, upstream->record.address,
+        const auto* upstream = pool_.find(record->upstream);
+        return forward_packet{record->upstream, upstream->record.address,
                               upstream->token, forward_reason::by_flow};
     }
-    give_up(record, now);
-    return place(packet, record, forward_reason::placed_anew, now);
+    give_up(*record, now);
+    return place(packet, *record, forward_reason::placed_anew, now);
 }
 
 void token_router::give_up(flow_record& record, time_point now)
@@ -195,40 +210,44 @@
     return decision;
 }
 
+token_decision token_router::forward_by_token(const token_packet& packet)
+{
+    if (packet.token == 0)
+    {
+        return drop(token_drop::no_token);
+    }
+    const auto* upstream = pool_.find_token(packet.token);
+    if (upstream == nullptr)
+    {
+        return drop(token_drop::unknown_token);
+    }
+    ++counters_.by_token;
+    return forward_packet{upstream->record.id, upstream->record.address,
+                          upstream->token, forward_reason::by_token};
+}
+
 token_decision token_router::continue_flow(const token_packet& packet,
                                            time_point now)
 {
-    auto found = flows_.find(packet.flow);
-    if (found == flows_.end())
+    auto* record = find_flow(packet.flow);
+    if (record == nullptr)
     {
-        if (packet.token == 0)
-        {
-            return drop(token_drop::no_token);
-        }
-        const auto* upstream = pool_.find_token(packet.token);
-        if (upstream == nullptr)
-        {
-            return drop(token_drop::unknown_token);
-        }
-        ++counters_.by_token;
-        return forward_packet{upstream->record.id, upstream->record.address,
-                              upstream->token, forward_reason::by_token};
+        return forward_by_token(packet);
     }
-    auto& record = found->second;
-    record.seen = now;
-    if (record.phase == flow_phase::opening)
+    record->seen = now;
+    if (record->phase == flow_phase::opening)
     {
-        take_answer(packet, record, now);
+        take_answer(packet, *record, now);
     }
-    const auto* upstream = pool_.find(record.upstream);
+    const auto* upstream = pool_.find(record->upstream);
     if (packet.fin || packet.rst)
     {
-        if (record.phase == flow_phase::open)
+        if (record->phase == flow_phase::open)
         {
-            lifetimes_.add(now - record.sent);
+            lifetimes_.add(now - record->sent);
         }
-        release(record);
-        record.phase = flow_phase::ended;
+        release(*record);
+        record->phase = flow_phase::ended;
     }
     ++counters_.by_flow;
     return forward_packet{upstream->record.id, upstream->record.address,
--- a/src/coordination/token_router.hpp
+++ b/src/coordination/token_router.hpp
@@ -79,10 +79,12 @@
         std::uint64_t total_weight{0};
     };
 
+    flow_record* find_flow(const token_flow& flow);
     token_decision open_flow(const token_packet& packet, time_point now);
     token_decision place(const token_packet& packet, flow_record& record,
                          forward_reason reason, time_point now);
     token_decision continue_flow(const token_packet& packet, time_point now);
+    token_decision forward_by_token(const token_packet& packet);
     token_decision drop(token_drop reason);
     void take_answer(const token_packet& packet, flow_record& record,
                      time_point now);
--- a/src/coordination/upstream_pool.cpp
+++ b/src/coordination/upstream_pool.cpp
@@ -72,6 +72,7 @@
     }
     target.record = record;
     target.token = token;
+    target.learnt = now;
     target.data_centre = hash_text(record.data_centre);
     target.remote = target.data_centre != settings_.data_centre;
     data_centres_.try_emplace(target.data_centre);
@@ -261,6 +262,24 @@
 {
     std::erase_if(former_tokens_,
                   [now](const auto& each) { return now >= each.second.until; });
+    for (auto it = members_.begin(); it != members_.end();)
+    {
+        const auto& known = it->second;
+        const bool forgotten =
+            known.record.condition == upstream_condition::gone &&
+            now - known.learnt >= settings_.former_token_lifetime;
+        if (!forgotten)
+        {
+            ++it;
+            continue;
+        }
+        erase_from(by_service_[known.record.service], it->first);
+        if (!known.token_taken)
+        {
+            by_token_.erase(known.token);
+        }
+        it = members_.erase(it);
+    }
 }
 
 } // namespace boragestand::coordination
--- a/src/coordination/upstream_pool.hpp
+++ b/src/coordination/upstream_pool.hpp
@@ -27,6 +27,7 @@
         bool token_taken{false};      ///< by an upstream that was known before
         bool unlisted{false}; ///< not among the records of the last whole
         time_point warm_at;
+        time_point learnt;     ///< its newest record
         std::uint32_t open{0}; ///< flows from here that have not ended
         /// When SYNs were sent that no packet has followed yet, oldest first.
         std::deque<time_point> unanswered;
--- a/tests/tokens/token_router_test.cpp
+++ b/tests/tokens/token_router_test.cpp
@@ -387,6 +387,30 @@
     EXPECT_EQ(router_.flow_count(), 0U);
 }
 
+// Guards against growth with each upstream that was ever there, and against
+// packets of a flow whose upstream was forgotten.
+TEST_F(token_router_test, forgets_upstreams_that_are_gone)
+{
+    add({upstream(1, "desk"), upstream(2, "desk")});
+    open(1);
+    open(2);
+    auto gone = upstream(1, "desk");
+    gone.sequence = 2;
+    gone.condition = upstream_condition::gone;
+    add({gone});
+    for (int second = 0; second < 70; ++second)
+    {
+        now_ += 1s;
+        for (const std::uint16_t port : {1, 2})
+        {
+            router_.decide(packet(port), now_);
+        }
+        router_.sweep(now_);
+    }
+    EXPECT_EQ(router_.upstream_count(), 1U);
+    EXPECT_EQ(forwarded(syn(9)).upstream, 2U);
+}
+
 // Guards against the weights of a route that are not kept to.
 TEST_F(token_router_test, shares_a_route_by_weight)
 {
