Serve with a saved plan and ask two control instances after a power loss

Change: control instances save the newest committed plan beside their upstreams and hand it out, not current, before there is a leader. An entry instance without contact asks a second control instance 50 ms after the first, gives a connection up after 100 ms in its first round, and stays with the first that is current. A control instance is current only once an entry of the present term is committed there, so an old plan is never confirmed: a caller is turned away only with a confirmed plan.

Ruled out: uncommitted entries of the log (an entry instance could hold a plan that the group loses); a shorter first election time (disks that are slow by a factor of 30 would race).

The tests fail without their part: the saved plan is unknown, and is_caught_up() answering true lets a replica count before it has applied. What stays is the time in which no process runs, and the pauses between a caller's SYNs.

--- a/src/coordination/agreement_node.cpp
+++ b/src/coordination/agreement_node.cpp
@@ -200,6 +200,11 @@
                    : hears_leader(now);
 }
 
+bool agreement_node::is_caught_up() const
+{
+    return core_.log().term_at(core_.commit()) == core_.term();
+}
+
 std::vector<member_silence> agreement_node::silences(time_point now) const
 {
     return leader_ ? leader_->silences(now) : std::vector<member_silence>{};
--- a/src/coordination/agreement_node.hpp
+++ b/src/coordination/agreement_node.hpp
@@ -54,6 +54,10 @@
     /// leader gives up when it hears no majority for that long.
     bool is_in_contact(time_point now) const;
 
+    /// Whether an entry of the present term is committed here, so that all that
+    /// was acknowledged in earlier terms is applied.
+    bool is_caught_up() const;
+
     /// Of a leader, how long each other member has not answered; else empty.
     std::vector<member_silence> silences(time_point now) const;
 
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -128,7 +128,7 @@
         return tl::unexpected(server.error());
     }
     server_ = std::move(*server);
-    load_registry();
+    load_directory();
     founding_.start();
     follow_members();
     ticks_ =
@@ -164,7 +164,7 @@
     follow_members();
     expire(now);
     remove_silent_member(now);
-    save_registry(now);
+    save_directory(now);
     const bool current = is_current();
     if (current != current_)
     {
@@ -254,38 +254,62 @@
     }
 }
 
-// Upstreams announce themselves again, so a loss of this file costs only the
-// time of a heartbeat.
-void control_node::load_registry()
+// Upstreams announce themselves again and the group has the plan, so a loss of
+// this file costs only time.
+void control_node::load_directory()
 {
-    const auto records = store_.load();
-    if (!records)
+    auto saved = store_.load();
+    if (!saved)
     {
-        log_.request_failed("registry file", records.error());
+        log_.request_failed("directory file", saved.error());
         return;
     }
-    for (const auto& record : *records)
+    for (const auto& record : saved->upstreams)
     {
         registry_.apply(record, timers_.now());
         log_.upstream_changed(record, "disk");
     }
     saved_cursor_ = registry_.cursor();
+    if (saved->plan)
+    {
+        log_.plan_loaded(saved->plan->version, saved->plan->routes.size());
+        saved_plan_ =
+            std::make_shared<state::routing_plan>(std::move(*saved->plan));
+    }
 }
 
-void control_node::save_registry(time_point now)
+void control_node::save_directory(time_point now)
 {
-    const bool due = now - saved_at_ >= registry_save_interval;
-    if (!due || saved_cursor_ == registry_.cursor())
+    const auto plan = newest_plan();
+    const bool new_plan =
+        plan->version > (saved_plan_ ? saved_plan_->version : 0);
+    const bool new_upstreams = saved_cursor_ != registry_.cursor();
+    const auto interval =
+        new_plan ? plan_save_interval : registry_save_interval;
+    if (now - saved_at_ < interval || (!new_plan && !new_upstreams))
     {
         return;
     }
     saved_at_ = now;
     saved_cursor_ = registry_.cursor();
-    const auto saved = store_.save(registry_.changes_since(0, now));
+    saved_plan_ = plan;
+    const auto saved = store_.save({registry_.changes_since(0, now), *plan});
     if (!saved)
     {
-        log_.request_failed("registry file", saved.error());
+        log_.request_failed("directory file", saved.error());
+    }
+}
+
+// Before the group has a leader, the saved plan may be newer than what is known
+// to be committed.
+std::shared_ptr<const state::routing_plan> control_node::newest_plan() const
+{
+    const auto& current = machine_.current();
+    if (saved_plan_ && saved_plan_->version > current->plan.version)
+    {
+        return saved_plan_;
     }
+    return {current, &current->plan};
 }
 
 // Without contact to a majority the silence may be this instance's own.
@@ -311,7 +335,7 @@
 {
     const auto now = timers_.now();
     const auto& node = runner_->node();
-    if (!node.is_in_contact(now))
+    if (!node.is_in_contact(now) || !node.is_caught_up())
     {
         return false;
     }
@@ -339,7 +363,7 @@
 
 directory_server::view control_node::describe() const
 {
-    return {is_current(), machine_.current(), member_addresses()};
+    return {is_current(), newest_plan(), member_addresses()};
 }
 
 void control_node::take_heartbeat(
--- a/src/fleet/control_node.hpp
+++ b/src/fleet/control_node.hpp
@@ -3,8 +3,8 @@
 #include "base/metrics_text.hpp"
 #include "fleet/directory_client.hpp"
 #include "fleet/directory_server.hpp"
+#include "fleet/directory_store.hpp"
 #include "fleet/plan_machine.hpp"
-#include "fleet/registry_store.hpp"
 
 #include <functional>
 #include <map>
@@ -111,8 +111,9 @@
     void take(const coordination::directory_reply& reply);
     void remove_silent_member(time_point now);
     void expire(time_point now);
-    void load_registry();
-    void save_registry(time_point now);
+    void load_directory();
+    void save_directory(time_point now);
+    std::shared_ptr<const state::routing_plan> newest_plan() const;
     void confirm_leave(std::uint64_t upstream, std::uint64_t sequence,
                        done_callback callback);
     void answer_confirmed();
@@ -134,7 +135,8 @@
     replica::group_founding founding_;
     replica::group_api group_;
     coordination::upstream_registry registry_;
-    registry_store store_;
+    directory_store store_;
+    std::shared_ptr<const state::routing_plan> saved_plan_;
     std::uint64_t saved_cursor_{0};
     time_point saved_at_{};
     directory_server directory_;
--- a/src/fleet/directory_client.cpp
+++ b/src/fleet/directory_client.cpp
@@ -10,14 +10,20 @@
 directory_client::directory_client(transport::main_loop& loop,
                                    transport::timer_service& timers,
                                    const transport::endpoint& remote,
-                                   hooks callbacks)
+                                   hooks callbacks, duration connect_timeout)
     : timers_(timers)
     , remote_(remote)
     , hooks_(std::move(callbacks))
-    , client_(loop, timers, remote)
+    , client_(loop, timers, remote, connect_timeout)
 {
 }
 
+void directory_client::stop()
+{
+    stopped_ = true;
+    retry_.cancel();
+}
+
 void directory_client::ask()
 {
     auto request = hooks_.request();
@@ -35,6 +41,10 @@
 
 void directory_client::take(const result<transport::http_response>& response)
 {
+    if (stopped_)
+    {
+        return;
+    }
     if (!response)
     {
         fail(response.error());
--- a/src/fleet/directory_client.hpp
+++ b/src/fleet/directory_client.hpp
@@ -24,13 +24,17 @@
         std::function<bool(const error&)> failed;
     };
 
-    directory_client(transport::main_loop& loop,
-                     transport::timer_service& timers,
-                     const transport::endpoint& remote, hooks callbacks);
+    directory_client(
+        transport::main_loop& loop, transport::timer_service& timers,
+        const transport::endpoint& remote, hooks callbacks,
+        duration connect_timeout = transport::default_connect_timeout);
 
     /// Asks now and goes on until the client is destroyed.
     void start() { ask(); }
 
+    /// Asks no more; replies that are still to come are ignored.
+    void stop();
+
     const transport::endpoint& remote() const { return remote_; }
 
     /// When the last reply came; none before the first.
@@ -49,6 +53,7 @@
     std::uint64_t epoch_{0};
     std::uint64_t cursor_{0};
     bool current_{false};
+    bool stopped_{false};
     std::optional<time_point> last_reply_;
 };
 
--- a/src/fleet/directory_server.cpp
+++ b/src/fleet/directory_server.cpp
@@ -77,7 +77,7 @@
                                 const view& now) const
 {
     const bool newer_plan =
-        !request.from_replica && now.plan->plan.version > request.plan_version;
+        !request.from_replica && now.plan->version > request.plan_version;
     return request.epoch != epoch_ || request.cursor < registry_.cursor() ||
            newer_plan || (request.wants_current && now.current);
 }
@@ -90,7 +90,7 @@
     message.epoch = epoch_;
     message.cursor = registry_.cursor();
     message.current = now.current;
-    message.plan_version = now.plan->plan.version;
+    message.plan_version = now.plan->version;
     message.controls = now.controls;
     const bool known = request.epoch == epoch_;
     message.upstreams =
@@ -101,9 +101,9 @@
     }
     else
     {
-        if (now.plan->plan.version > request.plan_version)
+        if (now.plan->version > request.plan_version)
         {
-            message.plan = now.plan->plan;
+            message.plan = *now.plan;
         }
         for (const auto& [entry, load] : loads_)
         {
--- a/src/fleet/directory_server.hpp
+++ b/src/fleet/directory_server.hpp
@@ -23,7 +23,7 @@
     struct view
     {
         bool current{false};
-        std::shared_ptr<const state::submitted_plan> plan;
+        std::shared_ptr<const state::routing_plan> plan;
         std::vector<transport::endpoint> controls;
     };
 
--- a/src/fleet/registry_store.cpp
+++ b/src/fleet/directory_store.cpp
@@ -1,4 +1,4 @@
-#include "fleet/registry_store.hpp"
+#include "fleet/directory_store.hpp"
 
 #include "state/checked_file.hpp"
 
@@ -12,12 +12,12 @@
 
 } // namespace
 
-result<std::vector<coordination::registered_upstream>> registry_store::load()
+result<saved_directory> directory_store::load()
 {
     const auto text = state::read_checked_file(*files_, file_name);
     if (!text && text.error().kind == error_kind::not_found)
     {
-        return std::vector<coordination::registered_upstream>{};
+        return saved_directory{};
     }
     if (!text)
     {
@@ -28,14 +28,14 @@
     {
         return failure(error_kind::storage_corrupt, reply.error().message);
     }
-    return std::move(reply->upstreams);
+    return saved_directory{std::move(reply->upstreams), std::move(reply->plan)};
 }
 
-result<void> registry_store::save(
-    const std::vector<coordination::registered_upstream>& records)
+result<void> directory_store::save(const saved_directory& directory)
 {
     coordination::directory_reply reply;
-    reply.upstreams = records;
+    reply.upstreams = directory.upstreams;
+    reply.plan = directory.plan;
     return state::replace_checked_file(*files_, file_name,
                                        coordination::encode_message(reply));
 }
--- a/src/fleet/directory_subscription.cpp
+++ b/src/fleet/directory_subscription.cpp
@@ -15,6 +15,10 @@
 // control instance gets in contact with its group before.
 constexpr std::size_t stale_reply_limit = 1;
 
+// Each control instance sends all its records first, which takes the link of a
+// small instance a tenth of a second.
+constexpr std::size_t max_candidates = 2;
+
 } // namespace
 
 directory_subscription::directory_subscription(
@@ -27,89 +31,193 @@
     , position_(first % controls_.size())
     , log_(log)
     , hooks_(std::move(callbacks))
+    , source_(controls_[position_])
+{
+}
+
+bool directory_subscription::is_asked(const transport::endpoint& control) const
+{
+    return std::any_of(candidates_.begin(), candidates_.end(),
+                       [&control](const candidate& each)
+                       { return each.control == control; });
+}
+
+std::optional<transport::endpoint> directory_subscription::next_control()
+{
+    for (std::size_t step = 0; step < controls_.size(); ++step)
+    {
+        const auto control = controls_[position_ % controls_.size()];
+        position_ = (position_ + 1) % controls_.size();
+        if (!is_asked(control))
+        {
+            return control;
+        }
+    }
+    return std::nullopt;
+}
+
+bool directory_subscription::may_ask_more() const
 {
+    return !in_contact_ && candidates_.size() < max_candidates;
 }
 
-void directory_subscription::connect(std::string_view reason)
+// In a larger network, instances that are far away must not fail for ever.
+duration directory_subscription::connect_timeout() const
 {
-    switch_.cancel();
-    log_.source_changed(source(), reason, timers_.now());
-    client_ = std::make_unique<directory_client>(
-        loop_, timers_, source(),
+    const bool first_round = failures_ < controls_.size();
+    return first_round ? first_connect_timeout
+                       : transport::default_connect_timeout;
+}
+
+void directory_subscription::ask_next(std::string_view reason)
+{
+    retired_.clear();
+    if (!may_ask_more())
+    {
+        return;
+    }
+    const auto control = next_control();
+    if (!control)
+    {
+        return;
+    }
+    log_.source_changed(*control, reason, timers_.now());
+    if (candidates_.empty())
+    {
+        source_ = *control;
+    }
+    auto client = std::make_unique<directory_client>(
+        loop_, timers_, *control,
         directory_client::hooks{
             hooks_.request,
-            [this](const coordination::directory_reply& reply, bool whole)
-            { take(reply, whole); },
-            [this](const error& cause)
+            [this, from = *control](const coordination::directory_reply& reply,
+                                    bool whole) { take(from, reply, whole); },
+            [this, from = *control](const error& cause)
             {
-                move_on(cause.message);
+                fail(from, cause.message);
                 return false;
-            }});
-    client_->start();
+            }},
+        connect_timeout());
+    candidates_.push_back({*control, std::move(client)});
+    candidates_.back().client->start();
+    ask_next_after(candidate_delay, "no current reply yet");
 }
 
-// Once every instance has failed in a row, the next round starts after a pause.
-void directory_subscription::move_on(std::string_view reason)
+void directory_subscription::ask_next_after(duration pause,
+                                            std::string_view reason)
+{
+    next_ = timers_.after(pause, [this, text = std::string(reason)](time_point)
+                          { ask_next(text); });
+}
+
+void directory_subscription::retire(const transport::endpoint& control)
+{
+    const auto found = std::find_if(candidates_.begin(), candidates_.end(),
+                                    [&control](const candidate& each)
+                                    { return each.control == control; });
+    if (found == candidates_.end())
+    {
+        return;
+    }
+    found->client->stop();
+    retired_.push_back(std::move(found->client));
+    candidates_.erase(found);
+}
+
+void directory_subscription::lose_contact(std::string_view reason)
 {
-    ++failures_;
-    stale_replies_ = 0;
     if (in_contact_)
     {
         in_contact_ = false;
-        log_.contact_changed("control", source(), false, reason);
+        log_.contact_changed("control", source_, false, reason);
     }
-    position_ = (position_ + 1) % controls_.size();
+}
+
+// Once every instance has failed in a row, the next round starts after a pause.
+void directory_subscription::fail(const transport::endpoint& control,
+                                  std::string_view reason)
+{
+    ++failures_;
+    lose_contact(reason);
+    retire(control);
     const bool whole_round = failures_ % controls_.size() == 0;
-    const auto pause = whole_round ? directory_retry : duration(0);
-    switch_ = timers_.after(pause, [this, text = std::string(reason)](
-                                       time_point) { connect(text); });
+    ask_next_after(whole_round ? directory_retry : duration(0), reason);
 }
 
-void directory_subscription::take(const coordination::directory_reply& reply,
+void directory_subscription::take(const transport::endpoint& control,
+                                  const coordination::directory_reply& reply,
                                   bool whole)
 {
-    const auto from = source();
     last_reply_ = timers_.now();
-    hooks_.replied(reply, whole, from);
+    hooks_.replied(reply, whole, control);
     take_controls(reply.controls);
-    if (!reply.current)
+    if (reply.current)
+    {
+        take_current(control);
+        return;
+    }
+    take_stale(control);
+}
+
+void directory_subscription::take_stale(const transport::endpoint& control)
+{
+    for (auto& each : candidates_)
     {
-        ++stale_replies_;
-        if (controls_.size() > 1 && stale_replies_ > stale_reply_limit)
+        if (each.control != control ||
+            ++each.stale_replies <= stale_reply_limit)
+        {
+            continue;
+        }
+        constexpr auto reason = "not in contact with its group";
+        lose_contact(reason);
+        if (controls_.size() > candidates_.size())
         {
-            move_on("not in contact with its group");
+            retire(control);
         }
+        ask_next_after(duration(0), reason);
         return;
     }
-    stale_replies_ = 0;
+}
+
+void directory_subscription::take_current(const transport::endpoint& control)
+{
     last_current_ = timers_.now();
     failures_ = 0;
     if (!in_contact_)
     {
         in_contact_ = true;
-        log_.contact_changed("control", from, true, "current");
+        source_ = control;
+        log_.contact_changed("control", control, true, "current");
+    }
+    for (auto& each : std::exchange(candidates_, {}))
+    {
+        if (each.control == control)
+        {
+            each.stale_replies = 0;
+            candidates_.push_back(std::move(each));
+            continue;
+        }
+        each.client->stop();
+        retired_.push_back(std::move(each.client));
+    }
+    if (!retired_.empty())
+    {
+        next_ = timers_.after(duration(0),
+                              [this](time_point) { retired_.clear(); });
     }
 }
 
-// The instance that is asked now stays in the list: it has just answered.
 void directory_subscription::take_controls(
     const std::vector<transport::endpoint>& controls)
 {
-    auto next = controls;
-    if (next.empty() || next == controls_)
-    {
-        return;
-    }
-    const auto current = source();
-    controls_ = std::move(next);
-    const auto found = std::find(controls_.begin(), controls_.end(), current);
-    if (found == controls_.end())
+    if (controls.empty() || controls == controls_)
     {
-        controls_.push_back(current);
-        position_ = controls_.size() - 1;
         return;
     }
-    position_ = static_cast<std::size_t>(found - controls_.begin());
+    controls_ = controls;
+    const auto found = std::find(controls_.begin(), controls_.end(), source_);
+    const auto index = static_cast<std::size_t>(found - controls_.begin());
+    position_ = (index + 1) % controls_.size();
 }
 
 } // namespace boragestand::fleet
--- a/src/fleet/directory_subscription.hpp
+++ b/src/fleet/directory_subscription.hpp
@@ -9,9 +9,9 @@
 namespace boragestand::fleet
 {
 
-/// Keeps an entry instance up to date from one control instance at a time and
-/// moves on when that one does not answer, or is itself out of contact with
-/// its group.
+/// Keeps an entry instance up to date from one control instance at a time.
+/// While none in contact with its group has answered, it asks further ones
+/// beside the first, and stays with the first that is current.
 class directory_subscription
 {
 public:
@@ -33,7 +33,7 @@
                            std::size_t first, fleet_log& log, hooks callbacks);
 
     /// Starts to ask.
-    void start() { connect("start"); }
+    void start() { ask_next("start"); }
 
     /// When a control instance in contact with its group replied last; none
     /// before the first.
@@ -42,27 +42,47 @@
     /// When any control instance replied last.
     std::optional<time_point> last_reply() const { return last_reply_; }
 
-    /// The instance that is asked now.
-    transport::endpoint source() const { return controls_[position_]; }
+    /// The instance that is in contact, or was asked last.
+    transport::endpoint source() const { return source_; }
 
 private:
-    void connect(std::string_view reason);
-    void move_on(std::string_view reason);
-    void take(const coordination::directory_reply& reply, bool whole);
+    /// A control instance that is asked.
+    struct candidate
+    {
+        transport::endpoint control;
+        std::unique_ptr<directory_client> client;
+        std::size_t stale_replies{0}; ///< in a row
+    };
+
+    void ask_next(std::string_view reason);
+    void ask_next_after(duration pause, std::string_view reason);
+    std::optional<transport::endpoint> next_control();
+    bool is_asked(const transport::endpoint& control) const;
+    bool may_ask_more() const;
+    void fail(const transport::endpoint& control, std::string_view reason);
+    void take(const transport::endpoint& control,
+              const coordination::directory_reply& reply, bool whole);
+    void take_stale(const transport::endpoint& control);
+    void take_current(const transport::endpoint& control);
     void take_controls(const std::vector<transport::endpoint>& controls);
+    void lose_contact(std::string_view reason);
+    void retire(const transport::endpoint& control);
+    duration connect_timeout() const;
 
     transport::main_loop& loop_;
     transport::timer_service& timers_;
     std::vector<transport::endpoint> controls_;
-    std::size_t position_{0};
+    std::size_t position_{0}; ///< of the control instance to ask next
     fleet_log& log_;
     hooks hooks_;
-    std::unique_ptr<directory_client> client_;
-    transport::subscription switch_;
+    std::vector<candidate> candidates_;
+    /// Clients that may be running one of their callbacks.
+    std::vector<std::unique_ptr<directory_client>> retired_;
+    transport::subscription next_;
+    transport::endpoint source_;
     std::optional<time_point> last_current_;
     std::optional<time_point> last_reply_;
-    std::size_t failures_{0};      ///< in a row, of different instances
-    std::size_t stale_replies_{0}; ///< in a row, of the present instance
+    std::size_t failures_{0}; ///< in a row
     bool in_contact_{false};
 };
 
--- a/src/fleet/fleet_log.cpp
+++ b/src/fleet/fleet_log.cpp
@@ -165,6 +165,18 @@
                });
 }
 
+void fleet_log::plan_loaded(std::uint64_t version, std::size_t routes)
+{
+    log_.write(log_level::info,
+               [&]
+               {
+                   return log_line("plan_loaded")
+                       .with("version", version)
+                       .with("routes", routes)
+                       .with("confirmed", false);
+               });
+}
+
 void fleet_log::plan_answered(std::uint64_t version, std::uint64_t in_force,
                               std::string_view outcome, duration taken)
 {
--- a/src/fleet/fleet_log.hpp
+++ b/src/fleet/fleet_log.hpp
@@ -32,6 +32,10 @@
     void plan_applied(std::uint64_t index, std::uint64_t version,
                       std::uint64_t former, state::plan_outcome outcome);
 
+    /// A plan was read from the instance's own disk; the group may have a newer
+    /// one.
+    void plan_loaded(std::uint64_t version, std::size_t routes);
+
     /// An operator's plan was answered. version is 0 if it could not be read.
     void plan_answered(std::uint64_t version, std::uint64_t in_force,
                        std::string_view outcome, duration taken);
--- a/src/fleet/fleet_times.hpp
+++ b/src/fleet/fleet_times.hpp
@@ -18,6 +18,14 @@
 /// Pause after a directory request that failed.
 constexpr duration directory_retry = std::chrono::milliseconds(150);
 
+/// An entry instance without contact asks a further control instance beside the
+/// first after this time: some round trips and a turn of a small machine.
+constexpr duration candidate_delay = std::chrono::milliseconds(50);
+
+/// A control instance that does not take a connection for this long is passed
+/// over in the first round; it may be without power, and others are near.
+constexpr duration first_connect_timeout = std::chrono::milliseconds(100);
+
 /// Contact with a control instance counts as lost after this time without a
 /// reply.
 constexpr duration contact_limit = 2 * directory_timeout;
@@ -44,8 +52,11 @@
 /// answered serves with an unconfirmed plan after this time.
 constexpr duration ready_without_contact = std::chrono::seconds(3);
 
-/// Shortest time between two saves of the registry of upstreams; each waits for
-/// the disk.
+/// Shortest time between two saves of the directory for changes of upstreams;
+/// each waits for the disk.
 constexpr duration registry_save_interval = std::chrono::seconds(4);
 
+/// The same for a new plan, which no heartbeat brings back.
+constexpr duration plan_save_interval = std::chrono::seconds(1);
+
 } // namespace boragestand::fleet
--- a/src/transport/http2_client.cpp
+++ b/src/transport/http2_client.cpp
@@ -35,12 +35,14 @@
     main_loop& loop;
     timer_service& timers;
     endpoint remote;
+    duration connect_timeout;
     std::vector<std::shared_ptr<http2_client_connection>> connections;
     std::map<std::uint64_t, call> calls;
     std::uint64_t next_call{1};
 
-    implementation(main_loop& owner, timer_service& clock, const endpoint& peer)
-        : loop(owner), timers(clock), remote(peer)
+    implementation(main_loop& owner, timer_service& clock, const endpoint& peer,
+                   duration connecting)
+        : loop(owner), timers(clock), remote(peer), connect_timeout(connecting)
     {
     }
 
@@ -55,7 +57,7 @@
             return *found;
         }
         auto opened = http2_client_connection::connect(
-            loop, remote,
+            loop, remote, connect_timeout,
             [weak = weak_from_this()](http2_client_connection* closed)
             {
                 if (const auto self = weak.lock())
@@ -245,8 +247,9 @@
 };
 
 http2_client::http2_client(main_loop& loop, timer_service& timers,
-                           const endpoint& remote)
-    : implementation_(std::make_shared<implementation>(loop, timers, remote))
+                           const endpoint& remote, duration connect_timeout)
+    : implementation_(std::make_shared<implementation>(loop, timers, remote,
+                                                       connect_timeout))
 {
 }
 
--- a/src/transport/http2_client.hpp
+++ b/src/transport/http2_client.hpp
@@ -13,6 +13,10 @@
 namespace boragestand::transport
 {
 
+/// Some round trips between data centres. The kernel would repeat a lost
+/// opening packet only after a second.
+constexpr duration default_connect_timeout = std::chrono::milliseconds(300);
+
 /// An HTTP/2 connection without TLS to one endpoint. Connects when it is first
 /// used and again after a loss; requests in flight at a loss fail with
 /// error_kind::unavailable and are not sent again.
@@ -30,8 +34,9 @@
         std::function<void(result<void>)> on_end;
     };
 
-    http2_client(main_loop& loop, timer_service& timers,
-                 const endpoint& remote);
+    /// A connection that does not open within connect_timeout is given up.
+    http2_client(main_loop& loop, timer_service& timers, const endpoint& remote,
+                 duration connect_timeout = default_connect_timeout);
 
     /// Closes the connection; callbacks of open requests do not run.
     ~http2_client();
--- a/src/transport/http2_client_connection.cpp
+++ b/src/transport/http2_client_connection.cpp
@@ -20,10 +20,6 @@
 constexpr int keepalive_interval_seconds = 2;
 constexpr int keepalive_probes = 3;
 
-// Some round trips between data centres. The kernel would repeat a lost opening
-// packet only after a second.
-constexpr duration connect_timeout = std::chrono::milliseconds(300);
-
 http2_client_connection* connection_of(void* user)
 {
     return static_cast<http2_client_connection*>(
@@ -64,7 +60,7 @@
 
 std::shared_ptr<http2_client_connection>
 http2_client_connection::connect(main_loop& loop, const endpoint& remote,
-                                 closed_callback on_closed)
+                                 duration timeout, closed_callback on_closed)
 {
     unique_fd fd(
         ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
@@ -82,7 +78,7 @@
     }
     auto connection = std::make_shared<http2_client_connection>(
         loop, std::move(fd), remote, std::move(on_closed));
-    connection->open();
+    connection->open(timeout);
     return connection;
 }
 
@@ -100,7 +96,7 @@
     return callbacks;
 }
 
-void http2_client_connection::open()
+void http2_client_connection::open(duration timeout)
 {
     nghttp2_session_callbacks* callbacks = create_callbacks();
     nghttp2_session* session = nullptr;
@@ -109,7 +105,7 @@
     nghttp2_session_callbacks_del(callbacks);
     submit_settings(session);
     start(session);
-    connect_timeout_ = loop().schedule(connect_timeout, false,
+    connect_timeout_ = loop().schedule(timeout, false,
                                        [this]
                                        {
                                            if (is_connecting())
--- a/src/transport/http2_client_connection.hpp
+++ b/src/transport/http2_client_connection.hpp
@@ -20,7 +20,8 @@
 
     /// Starts to connect; null if no socket can be opened.
     static std::shared_ptr<http2_client_connection>
-    connect(main_loop& loop, const endpoint& remote, closed_callback on_closed);
+    connect(main_loop& loop, const endpoint& remote, duration timeout,
+            closed_callback on_closed);
 
     http2_client_connection(main_loop& loop, unique_fd fd,
                             const endpoint& remote, closed_callback on_closed);
@@ -66,7 +67,7 @@
         std::function<void(result<void>)> on_end;
     };
 
-    void open();
+    void open(duration timeout);
     void on_closed() override;
     void end_stream(std::int32_t id, bool complete);
     std::shared_ptr<stream_state> find(std::int32_t id) const;
--- a/tests/agreement/agreement_contract_test.cpp
+++ b/tests/agreement/agreement_contract_test.cpp
@@ -191,6 +191,43 @@
     EXPECT_EQ(group.answer(stale)->error().kind, error_kind::not_leader);
 }
 
+// Guards against a replica that counts as caught up after a restart although it
+// has not applied what was acknowledged before.
+TEST(agreement_contract, caught_up_replicas_hold_all_earlier_answers)
+{
+    // Without a snapshot that would hold the commands.
+    simulated_group group(11, coordination::agreement_settings{});
+    lead_with_commands(group);
+    for (const std::uint32_t instance : {1U, 2U, 3U})
+    {
+        group.at(instance).kill();
+    }
+    for (const std::uint32_t instance : {1U, 2U, 3U})
+    {
+        group.restart(instance);
+    }
+    const auto caught_up = [&group](std::uint32_t instance)
+    {
+        const auto* node = group.at(instance).node();
+        return node != nullptr && node->is_caught_up();
+    };
+    const auto is_true = [&](std::uint32_t instance)
+    {
+        return !caught_up(instance) || group.at(instance).holds("before4");
+    };
+    bool always_true = true;
+    const bool all_caught_up =
+        group.run(seconds(5),
+                  [&]
+                  {
+                      always_true =
+                          always_true && is_true(1) && is_true(2) && is_true(3);
+                      return caught_up(1) && caught_up(2) && caught_up(3);
+                  });
+    EXPECT_TRUE(all_caught_up);
+    EXPECT_TRUE(always_true);
+}
+
 // Guards against a change that the rules forbid or an error that misleads.
 TEST(agreement_contract, refuses_forbidden_membership_changes)
 {
--- a/tests/fleet/fleet_group.hpp
+++ b/tests/fleet/fleet_group.hpp
@@ -57,6 +57,10 @@
 
     control_node& at(std::uint32_t number) { return *nodes_.at(number); }
     transport::endpoint address(std::uint32_t number) const;
+    std::uint32_t number_of(const transport::endpoint& instance) const
+    {
+        return instance.address - network_;
+    }
     transport::timer_service& timers() { return timers_; }
 
 private:
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -1,6 +1,7 @@
 #include "fleet_group.hpp"
 
 #include <gtest/gtest.h>
+#include <sys/socket.h>
 
 namespace boragestand::fleet
 {
@@ -41,9 +42,42 @@
         return std::holds_alternative<coordination::forward_packet>(decision);
     }
 
+    bool is_reset(entry_node& entry, std::uint16_t port,
+                  std::uint16_t destination)
+    {
+        coordination::token_packet syn;
+        syn.flow = {{0x64400001, port}, {0xc6120001, destination}};
+        syn.syn = true;
+        const auto decision = entry.decide(syn, fleet_.timers().now());
+        return std::holds_alternative<coordination::reset_caller>(decision);
+    }
+
     fleet_group fleet_;
 };
 
+/// Takes connections at an address and answers nothing.
+class silent_listener
+{
+public:
+    explicit silent_listener(const transport::endpoint& address)
+        : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        constexpr int backlog = 16;
+        constexpr int enabled = 1;
+        ::setsockopt(socket_.value(), SOL_SOCKET, SO_REUSEADDR, &enabled,
+                     sizeof enabled);
+        const auto bound = transport::to_sockaddr(address);
+        EXPECT_EQ(::bind(socket_.value(),
+                         reinterpret_cast<const sockaddr*>(&bound),
+                         sizeof bound),
+                  0);
+        EXPECT_EQ(::listen(socket_.value(), backlog), 0);
+    }
+
+private:
+    transport::unique_fd socket_;
+};
+
 } // namespace
 
 // Guards against two groups, and against instances that are not seeds and stay
@@ -156,6 +190,48 @@
     EXPECT_EQ(fleet_.read(), "seven");
 }
 
+// Guards against entry instances that wait for an election after all instances
+// have lost power, although the disks hold upstreams and a committed plan.
+TEST_F(fleet_test, serves_with_the_saved_plan_before_there_is_a_leader)
+{
+    found(3);
+    ASSERT_TRUE(fleet_.submit(7, "seven"));
+    fleet_.beat(1, make_upstream(1, 1));
+    fleet_.run_for(registry_save_interval + 500ms);
+    for (std::uint32_t number = 1; number <= 3; ++number)
+    {
+        fleet_.kill(number);
+    }
+    fleet_.start(1, false);
+    const auto entry = fleet_.make_entry();
+    ASSERT_TRUE(fleet_.run_until([&] { return place(*entry, 1); }));
+    EXPECT_EQ(entry->router().plan_version(), 7U);
+    // A caller is turned away only with a plan that was confirmed.
+    EXPECT_FALSE(entry->last_current());
+    EXPECT_FALSE(is_reset(*entry, 2, 444));
+    EXPECT_FALSE(entry->is_ready());
+}
+
+// Guards against an entry instance that waits for a control instance which
+// takes connections and answers nothing, while others would answer.
+TEST_F(fleet_test, asks_others_beside_a_silent_control_instance)
+{
+    found(3);
+    ASSERT_TRUE(fleet_.submit(7, "seven"));
+    const auto probe = fleet_.make_entry();
+    const auto first = probe->source();
+    const auto number = fleet_.number_of(first);
+    fleet_.kill(number);
+    ASSERT_TRUE(fleet_.run_until([&] { return fleet_.leader() != 0; }));
+    const silent_listener silent(first);
+    const auto entry = fleet_.make_entry();
+    const auto started = fleet_.timers().now();
+    ASSERT_TRUE(
+        fleet_.run_until([&] { return entry->last_current().has_value(); }));
+    EXPECT_LT(fleet_.timers().now() - started, directory_timeout / 2);
+    EXPECT_NE(entry->source(), first);
+}
+
 // Guards against an upstream that is told it may leave while only the instance
 // that heard it knows.
 TEST_F(fleet_test, confirms_a_leave_once_a_majority_knows_it)
