Read settings again on SIGHUP or a change; fall back to the seeds

Change: settings_watch reads the file again after SIGHUP, or when its size or time has changed (checked every 5 s), keeps the former settings if the new ones have faults, and logs which of them wait for the next start. Seeds and log level take effect at once. The file is read in blocks of 4 KB.

Ruled out: a watch by inotify (not available there).

--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -512,6 +512,12 @@
                                                                : leader;
 }
 
+void control_node::set_seeds(std::vector<transport::endpoint> seeds)
+{
+    founding_.set_founders(founders_of(seeds));
+    settings_.seeds = std::move(seeds);
+}
+
 std::string control_node::metrics() const
 {
     const auto& node = runner_->node();
--- a/src/fleet/control_node.hpp
+++ b/src/fleet/control_node.hpp
@@ -65,6 +65,9 @@
     /// Address of the group's leader, if another instance leads.
     std::optional<transport::endpoint> other_leader() const;
 
+    /// Instances to ask for the group from now on.
+    void set_seeds(std::vector<transport::endpoint> seeds);
+
     /// Hands leadership over before a planned stop.
     void hand_over() { runner_->hand_over(); }
 
--- a/src/fleet/directory_subscription.cpp
+++ b/src/fleet/directory_subscription.cpp
@@ -23,11 +23,12 @@
 
 directory_subscription::directory_subscription(
     transport::main_loop& loop, transport::timer_service& timers,
-    std::vector<transport::endpoint> controls, std::size_t first,
-    fleet_log& log, hooks callbacks)
+    std::vector<transport::endpoint> seeds, std::size_t first, fleet_log& log,
+    hooks callbacks)
     : loop_(loop)
     , timers_(timers)
-    , controls_(std::move(controls))
+    , seeds_(std::move(seeds))
+    , controls_(seeds_)
     , position_(first % controls_.size())
     , log_(log)
     , hooks_(std::move(callbacks))
@@ -141,9 +142,35 @@
     lose_contact(reason);
     retire(control);
     const bool whole_round = failures_ % controls_.size() == 0;
+    if (whole_round)
+    {
+        add_seeds();
+    }
     ask_next_after(whole_round ? directory_retry : duration(0), reason);
 }
 
+// All instances that were known may have been replaced.
+void directory_subscription::add_seeds()
+{
+    for (const auto& seed : seeds_)
+    {
+        if (std::find(controls_.begin(), controls_.end(), seed) ==
+            controls_.end())
+        {
+            controls_.push_back(seed);
+        }
+    }
+}
+
+void directory_subscription::set_seeds(std::vector<transport::endpoint> seeds)
+{
+    seeds_ = std::move(seeds);
+    if (!in_contact_)
+    {
+        add_seeds();
+    }
+}
+
 void directory_subscription::take(const transport::endpoint& control,
                                   const coordination::directory_reply& reply,
                                   bool whole)
--- a/src/fleet/directory_subscription.hpp
+++ b/src/fleet/directory_subscription.hpp
@@ -25,13 +25,17 @@
             replied;
     };
 
-    /// controls are the first instances to ask; first says with which of them
-    /// to begin, so that entry instances spread over them.
+    /// seeds are the first instances to ask; first says with which of them to
+    /// begin, so that entry instances spread over them.
     directory_subscription(transport::main_loop& loop,
                            transport::timer_service& timers,
-                           std::vector<transport::endpoint> controls,
+                           std::vector<transport::endpoint> seeds,
                            std::size_t first, fleet_log& log, hooks callbacks);
 
+    /// Replaces the seeds. They are asked again when no instance that is known
+    /// answers.
+    void set_seeds(std::vector<transport::endpoint> seeds);
+
     /// Starts to ask.
     void start() { ask_next("start"); }
 
@@ -67,11 +71,13 @@
     void take_controls(const std::vector<transport::endpoint>& controls);
     void lose_contact(std::string_view reason);
     void retire(const transport::endpoint& control);
+    void add_seeds();
     duration connect_timeout() const;
 
     transport::main_loop& loop_;
     transport::timer_service& timers_;
-    std::vector<transport::endpoint> controls_;
+    std::vector<transport::endpoint> seeds_;
+    std::vector<transport::endpoint> controls_; ///< to ask, in turn
     std::size_t position_{0}; ///< of the control instance to ask next
     fleet_log& log_;
     hooks hooks_;
--- a/src/fleet/entry_node.hpp
+++ b/src/fleet/entry_node.hpp
@@ -25,6 +25,12 @@
     /// Starts to ask control instances.
     void start() { directory_.start(); }
 
+    /// Control instances to ask when none of the known ones answers.
+    void set_seeds(std::vector<transport::endpoint> seeds)
+    {
+        directory_.set_seeds(std::move(seeds));
+    }
+
     /// Decides on one packet.
     coordination::token_decision
     decide(const coordination::token_packet& packet, time_point now);
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -7,5 +7,6 @@
 #include "fleet/directory_subscription.hpp"
 #include "fleet/entry_node.hpp"
 #include "fleet/fleet_log.hpp"
+#include "fleet/fleet_program.hpp"
 #include "fleet/fleet_times.hpp"
 #include "fleet/metrics_server.hpp"
--- a/src/replica/group_founding.cpp
+++ b/src/replica/group_founding.cpp
@@ -60,6 +60,16 @@
     poll();
 }
 
+void group_founding::set_founders(std::vector<founder> founders)
+{
+    if (policy_.may_found && !joined_)
+    {
+        return;
+    }
+    policy_.may_found = false;
+    policy_.founders = std::move(founders);
+}
+
 founding_status group_founding::status() const
 {
     const auto& node = host_.node();
--- a/src/replica/group_founding.hpp
+++ b/src/replica/group_founding.hpp
@@ -52,6 +52,10 @@
     /// Asks all others now and regularly until this instance is a member.
     void start();
 
+    /// Replaces the instances to ask. An instance that may found a group keeps
+    /// those that it started with, on which all founders must agree.
+    void set_founders(std::vector<founder> founders);
+
     /// What this instance tells others.
     founding_status status() const;
 
--- a/src/settings/command_line.cpp
+++ b/src/settings/command_line.cpp
@@ -97,7 +97,8 @@
 start<Settings>
 start_program(const program_description& program, int argc,
               const char* const* argv, std::ostream& out, std::ostream& err,
-              document::checked<Settings> (*read)(std::string_view))
+              document::checked<Settings> (*read)(std::string_view),
+              std::string* file = nullptr)
 {
     const command_line line = parse(program, argc, argv, err);
     if (line.status != success)
@@ -119,8 +120,12 @@
         err << program.name << ": --settings FILE is required; see --help\n";
         return status_of(error_kind::invalid_argument);
     }
-    start<Settings> started =
-        read_settings(line.values["settings"].as<std::string>(), read, err);
+    const auto name = line.values["settings"].as<std::string>();
+    if (file != nullptr)
+    {
+        *file = name;
+    }
+    start<Settings> started = read_settings(name, read, err);
     if (const auto* settings = std::get_if<Settings>(&started))
     {
         if (line.values.contains("print-settings"))
@@ -171,12 +176,18 @@
                                            &read_control_settings);
 }
 
-start<fleet_settings> start_fleet(const program_description& program, int argc,
+start<settings_watch> start_fleet(const program_description& program, int argc,
                                   const char* const* argv, std::ostream& out,
                                   std::ostream& err)
 {
-    return start_program<fleet_settings>(program, argc, argv, out, err,
-                                         &read_fleet_settings);
+    std::string file;
+    auto started = start_program<fleet_settings>(program, argc, argv, out, err,
+                                                 &read_fleet_settings, &file);
+    if (const auto* status = std::get_if<int>(&started))
+    {
+        return *status;
+    }
+    return settings_watch(file, std::get<fleet_settings>(std::move(started)));
 }
 
 } // namespace boragestand::settings
--- a/src/settings/command_line.hpp
+++ b/src/settings/command_line.hpp
@@ -3,7 +3,7 @@
 #include "document/document.hpp"
 #include "settings/control_settings.hpp"
 #include "settings/entry_settings.hpp"
-#include "settings/fleet_settings.hpp"
+#include "settings/settings_watch.hpp"
 
 #include <iosfwd>
 #include <string>
@@ -39,8 +39,9 @@
                                       int argc, const char* const* argv,
                                       std::ostream& out, std::ostream& err);
 
-/// As start_entry, for instances of a fleet whose instances find each other.
-start<fleet_settings> start_fleet(const program_description& program, int argc,
+/// As start_entry, for instances of a fleet whose instances find each other;
+/// their settings can be read again.
+start<settings_watch> start_fleet(const program_description& program, int argc,
                                   const char* const* argv, std::ostream& out,
                                   std::ostream& err);
 
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -10,4 +10,5 @@
 #include "settings/fleet_settings.hpp"
 #include "settings/log_level.hpp"
 #include "settings/repeat_limiter.hpp"
+#include "settings/settings_watch.hpp"
 #include "settings/text_file.hpp"
--- /dev/null
+++ b/src/settings/settings_watch.cpp
@@ -0,0 +1,91 @@
+#include "settings/settings_watch.hpp"
+
+#include "settings/settings_reader.hpp"
+#include "settings/text_file.hpp"
+
+#include <tuple>
+#include <utility>
+
+namespace boragestand::settings
+{
+
+settings_watch::settings_watch(std::string file, fleet_settings settings)
+    : file_(std::move(file))
+    , current_(std::move(settings))
+    , stamp_(read_stamp())
+{
+}
+
+// A file that is missing at this moment has an empty stamp and is read again.
+settings_watch::stamp settings_watch::read_stamp() const
+{
+    std::error_code ignored;
+    const auto written = std::filesystem::last_write_time(file_, ignored);
+    if (ignored)
+    {
+        return {};
+    }
+    const auto size = std::filesystem::file_size(file_, ignored);
+    return ignored ? stamp{} : stamp{written, size};
+}
+
+result<std::optional<fleet_settings>> settings_watch::reload(bool forced)
+{
+    const auto seen = read_stamp();
+    if (!forced && seen == stamp_)
+    {
+        return std::nullopt;
+    }
+    stamp_ = seen;
+    const auto text = read_text_file(file_, max_settings_size);
+    if (!text)
+    {
+        return tl::unexpected(text.error());
+    }
+    auto next = read_fleet_settings(*text);
+    if (!next)
+    {
+        std::string faults;
+        for (const auto& fault : next.error())
+        {
+            faults += (faults.empty() ? "" : "; ") + file_ + ':' +
+                      document::to_string(fault);
+        }
+        return failure(error_kind::invalid_settings, faults);
+    }
+    if (*next == current_)
+    {
+        return std::nullopt;
+    }
+    current_ = std::move(*next);
+    return current_;
+}
+
+std::string settings_for_next_start(const fleet_settings& former,
+                                    const fleet_settings& next)
+{
+    std::string names;
+    const auto add_if = [&names](bool differs, std::string_view name)
+    {
+        if (differs)
+        {
+            names += (names.empty() ? "" : ",") + std::string(name);
+        }
+    };
+    add_if(former.name != next.name, "instance.name");
+    add_if(former.data_centre != next.data_centre, "instance.data_centre");
+    const auto addresses = [](const fleet_settings& settings)
+    {
+        return std::tie(settings.internal, settings.listen, settings.packets,
+                        settings.readiness, settings.announcements,
+                        settings.metrics);
+    };
+    add_if(addresses(former) != addresses(next), "addresses");
+    add_if(former.first_start != next.first_start, "first_start");
+    add_if(former.data_directory != next.data_directory, "data_directory");
+    add_if(former.heartbeat_ms != next.heartbeat_ms, "heartbeat_ms");
+    add_if(former.log.file != next.log.file, "log.file");
+    return names;
+}
+
+} // namespace boragestand::settings
--- a/src/settings/text_file.cpp
+++ b/src/settings/text_file.cpp
@@ -1,5 +1,6 @@
 #include "settings/text_file.hpp"
 
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <fstream>
@@ -7,13 +8,26 @@
 namespace boragestand::settings
 {
 
+namespace
+{
+
+// A usual settings file is shorter.
+constexpr std::size_t block_size = 4096;
+
+} // namespace
+
 result<std::string> read_text_file(const std::string& path,
                                    std::size_t max_size)
 {
     errno = 0;
     std::ifstream file(path, std::ios_base::binary);
-    std::string text(max_size + 1, '\0');
-    file.read(text.data(), static_cast<std::streamsize>(text.size()));
+    std::string text;
+    std::array<char, block_size> block{};
+    while (file && text.size() <= max_size)
+    {
+        file.read(block.data(), block.size());
+        text.append(block.data(), static_cast<std::size_t>(file.gcount()));
+    }
     // A short read sets failbit as well; badbit or no open file is a failure,
     // and so is a directory, which opens but cannot be read.
     if (!file.is_open() || file.bad() || errno != 0)
@@ -21,7 +35,6 @@
         return failure(error_kind::not_found,
                        path + " cannot be read: " + std::strerror(errno));
     }
-    text.resize(static_cast<std::size_t>(file.gcount()));
     if (text.size() > max_size)
     {
         return failure(error_kind::resource_exhausted,
--- a/tests/fleet/fleet_group.cpp
+++ b/tests/fleet/fleet_group.cpp
@@ -204,12 +204,13 @@
     return *outcome;
 }
 
-std::unique_ptr<entry_node> fleet_group::make_entry()
+std::unique_ptr<entry_node>
+fleet_group::make_entry(const std::vector<transport::endpoint>& seeds)
 {
     entry_node_settings settings;
     settings.address = {network_ + 200, port};
     settings.data_centre = "a";
-    settings.seeds = seeds();
+    settings.seeds = seeds;
     settings.router.data_centre = hash_text("a");
     auto entry = std::make_unique<entry_node>(loop_, timers_, settings, log_);
     entry->start();
--- a/tests/fleet/fleet_group.hpp
+++ b/tests/fleet/fleet_group.hpp
@@ -52,11 +52,14 @@
     std::optional<result<void>>
     beat(std::uint32_t number, const coordination::registered_upstream& record);
 
-    /// A new entry instance.
-    std::unique_ptr<entry_node> make_entry();
+    /// A new entry instance, with the fleet's seeds.
+    std::unique_ptr<entry_node> make_entry() { return make_entry(seeds()); }
+    std::unique_ptr<entry_node>
+    make_entry(const std::vector<transport::endpoint>& seeds);
 
     control_node& at(std::uint32_t number) { return *nodes_.at(number); }
     transport::endpoint address(std::uint32_t number) const;
+    std::vector<transport::endpoint> seeds() const;
     std::uint32_t number_of(const transport::endpoint& instance) const
     {
         return instance.address - network_;
@@ -64,7 +67,6 @@
     transport::timer_service& timers() { return timers_; }
 
 private:
-    std::vector<transport::endpoint> seeds() const;
     std::string directory(std::uint32_t number) const;
 
     transport::main_loop loop_;
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -232,6 +232,22 @@
     EXPECT_NE(entry->source(), first);
 }
 
+// Guards against an instance that never returns after all instances that it
+// knew were replaced, although its settings name others.
+TEST_F(fleet_test, asks_new_seeds_when_no_known_instance_answers)
+{
+    found(3);
+    ASSERT_TRUE(fleet_.submit(7, "seven"));
+    const auto entry =
+        fleet_.make_entry({fleet_.address(101), fleet_.address(102)});
+    fleet_.run_for(1s);
+    EXPECT_FALSE(entry->last_current());
+    entry->set_seeds(fleet_.seeds());
+    ASSERT_TRUE(
+        fleet_.run_until([&] { return entry->last_current().has_value(); }));
+    EXPECT_TRUE(entry->is_ready());
+}
+
 // Guards against an upstream that is told it may leave while only the instance
 // that heard it knows.
 TEST_F(fleet_test, confirms_a_leave_once_a_majority_knows_it)
--- a/tests/settings/fleet_settings_test.cpp
+++ b/tests/settings/fleet_settings_test.cpp
@@ -1,6 +1,10 @@
 #include "settings/settings.hpp"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
 
 namespace boragestand::settings
 {
@@ -40,6 +44,52 @@
     EXPECT_EQ(*again, *settings);
 }
 
+// Guards against a changed file that is not noticed, and against a faulty one
+// that replaces settings which work.
+TEST(settings_watch, takes_changes_and_keeps_what_works)
+{
+    const auto file = ::testing::TempDir() + "settings_watch_" +
+                      std::to_string(::getpid()) + ".yaml";
+    const auto write = [&file](const std::string& text)
+    {
+        std::ofstream(file) << text;
+    };
+    write(entry);
+    settings_watch watch(file, *read_fleet_settings(entry));
+    const auto unchanged = watch.reload(false);
+    ASSERT_TRUE(unchanged);
+    EXPECT_FALSE(*unchanged);
+
+    write(entry + "log: {level: debug}\n");
+    const auto changed = watch.reload(false);
+    ASSERT_TRUE(changed && *changed);
+    EXPECT_EQ((*changed)->log.level, log_level::debug);
+
+    write("instance: 3\n");
+    const auto broken = watch.reload(true);
+    ASSERT_FALSE(broken);
+    EXPECT_EQ(broken.error().kind, error_kind::invalid_settings);
+    EXPECT_EQ(watch.current().log.level, log_level::debug);
+
+    std::filesystem::remove(file);
+    const auto missing = watch.reload(true);
+    ASSERT_FALSE(missing);
+    EXPECT_EQ(missing.error().kind, error_kind::not_found);
+}
+
+// Guards against a reload that claims to apply what needs a restart.
+TEST(settings_watch, names_what_takes_effect_at_the_next_start)
+{
+    const auto former = *read_fleet_settings(entry);
+    auto next = former;
+    next.seeds = {"10.0.0.9:8100"};
+    next.log.level = log_level::debug;
+    EXPECT_EQ(settings_for_next_start(former, next), "");
+    next.readiness = "10.0.0.1:9001";
+    next.heartbeat_ms = 700;
+    EXPECT_EQ(settings_for_next_start(former, next), "addresses,heartbeat_ms");
+}
+
 // Guards against a process that starts with settings that cannot work.
 TEST_P(fleet_settings_faults, are_reported)
 {
