Count no silence of upstreams while the instance is behind; share the replica log

Found while tracing failed requests: flow lines with open=18 to 36.

Change: silence counts from when the instance had caught up (eight packets or more at once are a backlog). The lines of the replica, which stood in both control logs, are in replica_event_log.

Ruled out: waiting for the answer to a later SYN (placement that prefers untried upstreams gets none).

The two new unit tests fail without their part (28 of 28 flows at one upstream; 60 of 60).

--- a/src/coordination/token_router.hpp
+++ b/src/coordination/token_router.hpp
@@ -36,6 +36,9 @@
     /// The plan in force was confirmed to be the newest.
     void confirm_plan(time_point now) { plan_confirmed_ = now; }
 
+    /// Many packets wait to be read, so SYNs that seem unanswered may not be.
+    void note_backlog(time_point now) { pool_.note_backlog(now); }
+
     /// Forgets flows that have ended or are silent; due a few times a second.
     void sweep(time_point now);
 
--- a/src/coordination/upstream_pool.cpp
+++ b/src/coordination/upstream_pool.cpp
@@ -10,8 +10,7 @@
 namespace
 {
 
-// Costs of upstreams that are taken only if there is no better one.
-constexpr double suspect_cost = 1000.0;
+// Cost of an upstream that is taken only if there is no other one.
 constexpr double avoided_cost = 10000.0;
 
 // A control instance that is behind can tell what is known to be out of date.
@@ -98,12 +97,17 @@
                                           : find(former->second.upstream);
 }
 
+// An instance that is behind with its packets has not read the answers yet, so
+// silence counts from when it had caught up.
 bool upstream_pool::is_silent(const member& candidate, time_point now) const
 {
-    const bool unanswered =
-        !candidate.unanswered.empty() &&
-        now - candidate.unanswered.front() > settings_.handshake_limit;
-    return unanswered || now < candidate.suspended_until;
+    if (now < candidate.suspended_until)
+    {
+        return true;
+    }
+    return !candidate.unanswered.empty() &&
+           now - std::max(candidate.unanswered.front(), behind_at_) >
+               settings_.handshake_limit;
 }
 
 // An upstream counts only if its data centre has not answered since it became
@@ -146,11 +150,12 @@
     total += candidate.remote ? settings_.remote_penalty : 0.0;
     total += now < candidate.warm_at ? settings_.cold_penalty : 0.0;
     const auto& site = data_centres_.at(candidate.data_centre);
-    if (is_silent(candidate, now) || now < site.suspended_until)
+    if (now < site.suspended_until)
     {
-        total += suspect_cost;
+        return total + settings_.unreachable_penalty;
     }
-    return total;
+    return is_silent(candidate, now) ? total + settings_.suspect_penalty
+                                     : total;
 }
 
 upstream_pool::member* upstream_pool::choose(
--- a/src/coordination/upstream_pool.hpp
+++ b/src/coordination/upstream_pool.hpp
@@ -59,6 +59,9 @@
                    std::uint64_t flow_hash, time_point now,
                    std::uint32_t& candidates);
 
+    /// Many packets wait to be read, so answers may be among them.
+    void note_backlog(time_point now) { behind_at_ = now; }
+
     /// A SYN was sent.
     void note_syn(member& target, time_point now);
 
@@ -98,6 +101,7 @@
     double cost(const member& candidate, time_point now) const;
 
     token_router_settings settings_;
+    time_point behind_at_{}; ///< packets were waiting to be read
     std::map<std::uint64_t, member> members_;
     std::map<std::uint64_t, data_centre_state> data_centres_;
     std::map<std::string, std::vector<std::uint64_t>> by_service_;
--- a/src/fleet/entry_node.hpp
+++ b/src/fleet/entry_node.hpp
@@ -35,6 +35,9 @@
     coordination::token_decision
     decide(const coordination::token_packet& packet, time_point now);
 
+    /// Many packets wait to be read; see token_router::note_backlog.
+    void note_backlog(time_point now) { router_.note_backlog(now); }
+
     /// Whether new flows can be placed: a plan is in force that was confirmed,
     /// or no control instance could confirm one within ready_without_contact.
     bool is_ready() const;
--- a/src/fleet/fleet_log.cpp
+++ b/src/fleet/fleet_log.cpp
@@ -16,12 +16,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
 }
 
-std::string text_of(replica_id id)
-{
-    return transport::address_text(static_cast<std::uint32_t>(id.value >> 32)) +
-           "/" + identity_text(id.value & 0xffffffffU);
-}
-
 } // namespace
 
 std::string identity_text(std::uint64_t id)
@@ -32,268 +26,169 @@
     return {digits.data(), end.ptr};
 }
 
-void fleet_log::started(replica_id self, const state::log_recovery& recovery)
-{
-    log_.write(log_level::info,
-               [&]
-               {
-                   return log_line("replica_started")
-                       .with("replica", text_of(self))
-                       .with("entries", recovery.entries.size())
-                       .with("torn_bytes", recovery.torn_bytes);
-               });
-}
-
-void fleet_log::founded(const protocol::replica_group& group)
-{
-    log_.write(log_level::info,
-               [&] {
-                   return log_line("group_founded")
-                       .with("members", group.members.size());
-               });
-}
-
-void fleet_log::role_changed(const coordination::role_changed& change)
-{
-    log_.write(log_level::info,
-               [&]
-               {
-                   return log_line("role")
-                       .with("role", coordination::to_text(change.role))
-                       .with("term", change.term)
-                       .with("leader", text_of(change.leader))
-                       .with("reason", change.reason);
-               });
-}
-
-void fleet_log::group_changed(const protocol::log_entry& entry)
+std::string fleet_log::text_of(replica_id id) const
 {
-    const auto group = protocol::decode_replica_group(entry.data);
-    if (!group)
-    {
-        return;
-    }
-    std::string members;
-    for (const auto& member : group->members)
-    {
-        members += (members.empty() ? "" : ",") + text_of(member.id) +
-                   (member.voter ? "" : ":learner");
-    }
-    log_.write(log_level::info,
-               [&]
-               {
-                   return log_line("group")
-                       .with("index", entry.index)
-                       .with("members", members)
-                       .with("retired", group->retired.size());
-               });
-}
-
-void fleet_log::snapshot_stored(const protocol::agreement_snapshot& snapshot,
-                                bool installed)
-{
-    log_.write(log_level::info,
-               [&]
-               {
-                   return log_line("snapshot")
-                       .with("index", snapshot.last.index)
-                       .with("bytes", snapshot.data.size())
-                       .with("source", installed ? "leader" : "own");
-               });
-}
-
-void fleet_log::disk_replaced(replica_id self, replica_id replaced)
-{
-    log_.write(log_level::warn,
-               [&]
-               {
-                   return log_line("disk_replaced")
-                       .with("replica", text_of(self))
-                       .with("replaced", text_of(replaced));
-               });
-}
-
-void fleet_log::request_failed(std::string_view path, const error& cause)
-{
-    log_.write(log_level::info,
-               [&]
-               {
-                   return log_line("request_failed")
-                       .with("path", path)
-                       .with("error", answer_for(cause.kind).name)
-                       .with("message", cause.message);
-               });
-}
-
-void fleet_log::bad_input(std::string_view input, const error& cause,
-                          const transport::endpoint& source, time_point now)
-{
-    log_.write_limited(log_level::warn, input, now,
-                       [&]
-                       {
-                           return log_line("bad_input")
-                               .with("input", input)
-                               .with("source", transport::to_string(source))
-                               .with("message", cause.message);
-                       });
+    return transport::address_text(static_cast<std::uint32_t>(id.value >> 32)) +
+           "/" + identity_text(id.value & 0xffffffffU);
 }
 
-void fleet_log::failed(const error& cause)
+void fleet_log::started(replica_id self, const state::log_recovery& recovery)
 {
-    log_.write(log_level::error,
-               [&]
-               {
-                   return log_line("failed")
-                       .with("error", answer_for(cause.kind).name)
-                       .with("message", cause.message);
-               });
+    lines().write(log_level::info,
+                  [&]
+                  {
+                      return log_line("replica_started")
+                          .with("replica", text_of(self))
+                          .with("entries", recovery.entries.size())
+                          .with("torn_bytes", recovery.torn_bytes);
+                  });
 }
 
 void fleet_log::plan_applied(std::uint64_t index, std::uint64_t version,
                              std::uint64_t former, state::plan_outcome outcome)
 {
-    log_.write(log_level::info,
-               [&]
-               {
-                   const bool applied =
-                       outcome == state::plan_outcome::in_force;
-                   return log_line("plan_applied")
-                       .with("index", index)
-                       .with("version", version)
-                       .with("former", former)
-                       .with("outcome", applied ? "in_force" : "superseded");
-               });
+    lines().write(log_level::info,
+                  [&]
+                  {
+                      const bool applied =
+                          outcome == state::plan_outcome::in_force;
+                      return log_line("plan_applied")
+                          .with("index", index)
+                          .with("version", version)
+                          .with("former", former)
+                          .with("outcome", applied ? "in_force" : "superseded");
+                  });
 }
 
 void fleet_log::plan_loaded(std::uint64_t version, std::size_t routes)
 {
-    log_.write(log_level::info,
-               [&]
-               {
-                   return log_line("plan_loaded")
-                       .with("version", version)
-                       .with("routes", routes)
-                       .with("confirmed", false);
-               });
+    lines().write(log_level::info,
+                  [&]
+                  {
+                      return log_line("plan_loaded")
+                          .with("version", version)
+                          .with("routes", routes)
+                          .with("confirmed", false);
+                  });
 }
 
 void fleet_log::plan_answered(std::uint64_t version, std::uint64_t in_force,
                               std::string_view outcome, duration taken)
 {
-    log_.write(log_level::info,
-               [&]
-               {
-                   return log_line("plan_answered")
-                       .with("version", version)
-                       .with("in_force", in_force)
-                       .with("outcome", outcome)
-                       .with("taken_ms", milliseconds(taken));
-               });
+    lines().write(log_level::info,
+                  [&]
+                  {
+                      return log_line("plan_answered")
+                          .with("version", version)
+                          .with("in_force", in_force)
+                          .with("outcome", outcome)
+                          .with("taken_ms", milliseconds(taken));
+                  });
 }
 
 void fleet_log::plan_read(std::uint64_t version, std::string_view outcome,
                           duration taken)
 {
-    log_.write(log_level::info,
-               [&]
-               {
-                   return log_line("plan_read")
-                       .with("version", version)
-                       .with("outcome", outcome)
-                       .with("taken_ms", milliseconds(taken));
-               });
+    lines().write(log_level::info,
+                  [&]
+                  {
+                      return log_line("plan_read")
+                          .with("version", version)
+                          .with("outcome", outcome)
+                          .with("taken_ms", milliseconds(taken));
+                  });
 }
 
 void fleet_log::upstream_changed(
     const coordination::registered_upstream& record, std::string_view source)
 {
-    log_.write(log_level::info,
-               [&]
-               {
-                   return log_line("upstream")
-                       .with("upstream", identity_text(record.id))
-                       .with("service", record.service)
-                       .with("address", transport::to_string(record.address))
-                       .with("data_centre", record.data_centre)
-                       .with("incarnation", record.incarnation)
-                       .with("sequence", record.sequence)
-                       .with("condition",
-                             coordination::to_text(record.condition))
-                       .with("warmup_left_ms", record.warmup_left_ms)
-                       .with("source", source);
-               });
+    lines().write(log_level::info,
+                  [&]
+                  {
+                      return log_line("upstream")
+                          .with("upstream", identity_text(record.id))
+                          .with("service", record.service)
+                          .with("address", transport::to_string(record.address))
+                          .with("data_centre", record.data_centre)
+                          .with("incarnation", record.incarnation)
+                          .with("sequence", record.sequence)
+                          .with("condition",
+                                coordination::to_text(record.condition))
+                          .with("warmup_left_ms", record.warmup_left_ms)
+                          .with("source", source);
+                  });
 }
 
 void fleet_log::leave_answered(std::uint64_t upstream, std::uint64_t sequence,
                                bool confirmed, duration taken)
 {
-    log_.write(log_level::info,
-               [&]
-               {
-                   return log_line("leave_answered")
-                       .with("upstream", identity_text(upstream))
-                       .with("sequence", sequence)
-                       .with("outcome",
-                             confirmed ? "acknowledged" : "no_majority")
-                       .with("taken_ms", milliseconds(taken));
-               });
+    lines().write(log_level::info,
+                  [&]
+                  {
+                      return log_line("leave_answered")
+                          .with("upstream", identity_text(upstream))
+                          .with("sequence", sequence)
+                          .with("outcome",
+                                confirmed ? "acknowledged" : "no_majority")
+                          .with("taken_ms", milliseconds(taken));
+                  });
 }
 
 void fleet_log::contact_changed(std::string_view role,
                                 const transport::endpoint& peer,
                                 bool in_contact, std::string_view reason)
 {
-    log_.write(in_contact ? log_level::info : log_level::warn,
-               [&]
-               {
-                   return log_line(in_contact ? "contact" : "contact_lost")
-                       .with("role", role)
-                       .with("peer", transport::to_string(peer))
-                       .with("reason", reason);
-               });
+    lines().write(in_contact ? log_level::info : log_level::warn,
+                  [&]
+                  {
+                      return log_line(in_contact ? "contact" : "contact_lost")
+                          .with("role", role)
+                          .with("peer", transport::to_string(peer))
+                          .with("reason", reason);
+                  });
 }
 
 void fleet_log::source_changed(const transport::endpoint& source,
                                std::string_view reason, time_point now)
 {
-    log_.write_limited(log_level::info, transport::to_string(source), now,
-                       [&]
-                       {
-                           return log_line("directory_source")
-                               .with("source", transport::to_string(source))
-                               .with("reason", reason);
-                       });
+    lines().write_limited(log_level::info, transport::to_string(source), now,
+                          [&]
+                          {
+                              return log_line("directory_source")
+                                  .with("source", transport::to_string(source))
+                                  .with("reason", reason);
+                          });
 }
 
 void fleet_log::plan_in_force(std::uint64_t version, std::uint64_t former,
                               std::size_t routes,
                               const transport::endpoint& source)
 {
-    log_.write(log_level::info,
-               [&]
-               {
-                   return log_line("plan_in_force")
-                       .with("version", version)
-                       .with("former", former)
-                       .with("routes", routes)
-                       .with("source", transport::to_string(source));
-               });
+    lines().write(log_level::info,
+                  [&]
+                  {
+                      return log_line("plan_in_force")
+                          .with("version", version)
+                          .with("former", former)
+                          .with("routes", routes)
+                          .with("source", transport::to_string(source));
+                  });
 }
 
 void fleet_log::member_removed(replica_id member, duration silence)
 {
-    log_.write(log_level::warn,
-               [&]
-               {
-                   return log_line("member_removed")
-                       .with("replica", text_of(member))
-                       .with("silent_ms", milliseconds(silence));
-               });
+    lines().write(log_level::warn,
+                  [&]
+                  {
+                      return log_line("member_removed")
+                          .with("replica", text_of(member))
+                          .with("silent_ms", milliseconds(silence));
+                  });
 }
 
 void fleet_log::identity_retired(replica_id self)
 {
-    log_.write(
+    lines().write(
         log_level::warn,
         [&] {
             return log_line("identity_retired").with("replica", text_of(self));
@@ -302,8 +197,8 @@
 
 void fleet_log::lifecycle(std::string_view event, std::string_view detail)
 {
-    log_.write(log_level::info,
-               [&] { return log_line(event).with("detail", detail); });
+    lines().write(log_level::info,
+                  [&] { return log_line(event).with("detail", detail); });
 }
 
 } // namespace boragestand::fleet
--- a/src/fleet/fleet_log.hpp
+++ b/src/fleet/fleet_log.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "replica/replica_log.hpp"
-#include "settings/settings.hpp"
+#include "replica/replica_event_log.hpp"
 
 #include <optional>
 #include <string_view>
@@ -11,22 +10,12 @@
 
 /// Writes the log lines of the instances of a fleet: one for each decision and
 /// each change of what an instance believes.
-class fleet_log final : public replica::replica_log
+class fleet_log final : public replica::replica_event_log
 {
 public:
-    explicit fleet_log(settings::event_log& log) : log_(log) {}
+    using replica_event_log::replica_event_log;
 
     void started(replica_id self, const state::log_recovery& recovery) override;
-    void founded(const protocol::replica_group& group) override;
-    void role_changed(const coordination::role_changed& change) override;
-    void group_changed(const protocol::log_entry& entry) override;
-    void snapshot_stored(const protocol::agreement_snapshot& snapshot,
-                         bool installed) override;
-    void disk_replaced(replica_id self, replica_id replaced) override;
-    void request_failed(std::string_view path, const error& cause) override;
-    void bad_input(std::string_view input, const error& cause,
-                   const transport::endpoint& source, time_point now) override;
-    void failed(const error& cause) override;
 
     /// A committed plan was applied.
     void plan_applied(std::uint64_t index, std::uint64_t version,
@@ -73,10 +62,9 @@
     /// Start, stop or reload of the process.
     void lifecycle(std::string_view event, std::string_view detail);
 
-    settings::event_log& lines() { return log_; }
-
-private:
-    settings::event_log& log_;
+protected:
+    /// Address and the number of the disk: "10.4.0.5/99dc0fe5".
+    std::string text_of(replica_id id) const override;
 };
 
 /// Hexadecimal text of an identity, as in logs.
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -131,6 +131,8 @@
             self.random.choice(leaving).state = "draining"
 
     async def submit_twice(self):
+        for each in self.fleet.controls + self.fleet.entries:
+            each.send(signal.SIGHUP)
         await asyncio.gather(self.operator.submit(), self.operator.submit())
 
     async def kill_control_group(self):
--- a/tests/tokens/token_router_test.cpp
+++ b/tests/tokens/token_router_test.cpp
@@ -314,6 +314,52 @@
     }
 }
 
+// Guards against an instance that is behind with its packets, takes all
+// upstreams whose answers it has not read yet for silent, and sends everything
+// to the first one that it has read of.
+TEST_F(token_router_test, takes_no_upstream_for_silent_while_it_is_behind)
+{
+    std::vector<registered_upstream> records;
+    for (std::uint64_t id = 1; id <= 14; ++id)
+    {
+        records.push_back(upstream(id, "desk"));
+    }
+    add(records);
+    std::vector<forward_packet> placed;
+    for (std::uint16_t port = 1; port <= 14; ++port)
+    {
+        placed.push_back(forwarded(syn(port)));
+    }
+    now_ += 100ms;
+    router_.note_backlog(now_);
+    auto next = packet(1);
+    next.token = placed.front().token;
+    forwarded(next);
+    std::size_t at_first = 0;
+    for (std::uint16_t port = 101; port <= 128; ++port)
+    {
+        at_first +=
+            forwarded(syn(port)).upstream == placed.front().upstream ? 1 : 0;
+    }
+    EXPECT_LE(at_first, 4U);
+}
+
+// Guards against one upstream that gets all flows, far beyond what it can
+// queue, because all others are suspects.
+TEST_F(token_router_test, prefers_a_suspect_to_an_upstream_that_is_full)
+{
+    add({upstream(1, "desk"), upstream(2, "desk")});
+    const auto silent = forwarded(syn(1)).upstream;
+    now_ += 300ms;
+    std::size_t at_other = 0;
+    for (std::uint16_t port = 101; port <= 160; ++port)
+    {
+        at_other += forwarded(syn(port)).upstream == silent ? 0 : 1;
+    }
+    EXPECT_LE(at_other, 45U);
+    EXPECT_GE(at_other, 20U);
+}
+
 // Guards against an upstream that stays out for ever after a lost packet.
 TEST_F(token_router_test, tries_a_silent_upstream_again)
 {
