Leave packets in the socket until a new entry process has a plan

Cause: in the 10 to 60 ms between the start of an entry process and its first plan it read the waiting SYNs and dropped them (reason=no_plan); each caller then waits 400 ms for its next copy, or has none left.

Ruled out: keeping packets in the process (the socket does that already).

--- a/src/coordination/token_router_types.hpp
+++ b/src/coordination/token_router_types.hpp
@@ -100,9 +100,9 @@
     /// Flows that a suspect counts as, besides its own. An upstream with as
     /// many open flows from one instance has a full queue and is no better.
     double suspect_penalty{20.0};
-    /// The same for an upstream in a data centre that does not answer. As a last
-    /// resort instead, a data centre that is cut off overloads its own upstreams
-    /// while the others are back already.
+    /// The same for an upstream in a data centre that does not answer. As a
+    /// last resort instead, a data centre that is cut off overloads its own
+    /// upstreams while the others are back already.
     double unreachable_penalty{30.0};
     /// First and longest time without new flows after an unanswered SYN.
     duration first_suspension{std::chrono::milliseconds(500)};
--- a/src/fleet/entry_node.cpp
+++ b/src/fleet/entry_node.cpp
@@ -3,6 +3,8 @@
 #include "base/metrics_text.hpp"
 #include "fleet/fleet_times.hpp"
 
+#include <utility>
+
 namespace boragestand::fleet
 {
 
@@ -70,6 +72,10 @@
         log_.plan_in_force(reply.plan->version, former,
                            reply.plan->routes.size(), source);
     }
+    if (former == 0 && router_.plan_version() > 0 && first_plan_callback_)
+    {
+        std::exchange(first_plan_callback_, {})();
+    }
     if (reply.current && reply.plan_version <= router_.plan_version())
     {
         router_.confirm_plan(now);
--- a/src/fleet/entry_node.hpp
+++ b/src/fleet/entry_node.hpp
@@ -2,6 +2,9 @@
 
 #include "fleet/directory_subscription.hpp"
 
+#include <functional>
+#include <utility>
+
 namespace boragestand::fleet
 {
 
@@ -31,6 +34,12 @@
         directory_.set_seeds(std::move(seeds));
     }
 
+    /// Called once, when the first plan is in force.
+    void on_first_plan(std::function<void()> callback)
+    {
+        first_plan_callback_ = std::move(callback);
+    }
+
     /// Decides on one packet.
     coordination::token_decision
     decide(const coordination::token_packet& packet, time_point now);
@@ -70,6 +79,7 @@
     fleet_log& log_;
     coordination::token_router router_;
     directory_subscription directory_;
+    std::function<void()> first_plan_callback_;
     transport::subscription sweep_;
     time_point started_;
     time_point measured_;
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -204,8 +204,11 @@
     }
     fleet_.start(1, false);
     const auto entry = fleet_.make_entry();
+    int first_plans = 0;
+    entry->on_first_plan([&first_plans] { ++first_plans; });
     ASSERT_TRUE(fleet_.run_until([&] { return place(*entry, 1); }));
     EXPECT_EQ(entry->router().plan_version(), 7U);
+    EXPECT_EQ(first_plans, 1);
     // A caller is turned away only with a plan that was confirmed.
     EXPECT_FALSE(entry->last_current());
     EXPECT_FALSE(is_reset(*entry, 2, 444));
