--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -106,9 +106,12 @@
     , store_(std::move(files))
     , directory_(registry_, timers, random_number(),
                  [this] { return describe(); })
+    , leaves_(timers, log,
+              [this](std::uint64_t cursor)
+              { return known_to_majority(cursor); })
     , started_(timers.now())
 {
-    directory_.on_acknowledged([this] { answer_confirmed(); });
+    directory_.on_acknowledged([this] { leaves_.answer_confirmed(); });
 }
 
 result<void> control_node::start()
@@ -404,50 +407,8 @@
 void control_node::confirm_leave(std::uint64_t upstream, std::uint64_t sequence,
                                  done_callback callback)
 {
-    const auto cursor = registry_.changed_at(upstream);
-    const auto id = next_leave_++;
-    leaves_.emplace(id, pending_leave{upstream, sequence, cursor, timers_.now(),
-                                      std::move(callback),
-                                      timers_.after(leave_confirmation,
-                                                    [this, id](time_point) {
-                                                        finish_leave(id, false);
-                                                    })});
-    if (known_to_majority(cursor))
-    {
-        finish_leave(id, true);
-    }
-}
-
-void control_node::answer_confirmed()
-{
-    std::vector<std::uint64_t> confirmed;
-    for (const auto& [id, leave] : leaves_)
-    {
-        if (known_to_majority(leave.cursor))
-        {
-            confirmed.push_back(id);
-        }
-    }
-    for (const auto id : confirmed)
-    {
-        finish_leave(id, true);
-    }
-}
-
-void control_node::finish_leave(std::uint64_t id, bool confirmed)
-{
-    auto done = leaves_.extract(id);
-    if (!done)
-    {
-        return;
-    }
-    auto& leave = done.mapped();
-    confirmations_.add(timers_.now() - leave.started);
-    log_.leave_answered(leave.upstream, leave.sequence, confirmed,
-                        timers_.now() - leave.started);
-    leave.callback(confirmed ? result<void>{}
-                             : failure(error_kind::no_quorum,
-                                       "no majority has confirmed the leave"));
+    leaves_.add(upstream, sequence, registry_.changed_at(upstream),
+                std::move(callback));
 }
 
 void control_node::submit(state::submitted_plan plan, done_callback callback)
@@ -541,8 +502,8 @@
                  directory_.entry_count());
     submissions_.append_to(text, "boragestand_submission_seconds",
                            "From a plan to its acknowledgement");
-    confirmations_.append_to(text, "boragestand_leave_seconds",
-                             "From the leave of an upstream to its answer");
+    leaves_.times().append_to(text, "boragestand_leave_seconds",
+                              "From the leave of an upstream to its answer");
     return text;
 }
 
--- a/src/fleet/control_node.hpp
+++ b/src/fleet/control_node.hpp
@@ -4,6 +4,7 @@
 #include "fleet/directory_client.hpp"
 #include "fleet/directory_server.hpp"
 #include "fleet/directory_store.hpp"
+#include "fleet/leave_confirmations.hpp"
 #include "fleet/plan_machine.hpp"
 
 #include <functional>
@@ -89,16 +90,6 @@
     std::size_t entry_count() const { return directory_.entry_count(); }
 
 private:
-    struct pending_leave
-    {
-        std::uint64_t upstream;
-        std::uint64_t sequence;
-        std::uint64_t cursor;
-        time_point started;
-        done_callback callback;
-        transport::subscription timeout;
-    };
-
     control_node(transport::main_loop& loop, transport::timer_service& timers,
                  const control_node_settings& settings, fleet_log& log,
                  std::function<void(std::optional<error>)> stop,
@@ -119,8 +110,6 @@
     std::shared_ptr<const state::routing_plan> newest_plan() const;
     void confirm_leave(std::uint64_t upstream, std::uint64_t sequence,
                        done_callback callback);
-    void answer_confirmed();
-    void finish_leave(std::uint64_t id, bool confirmed);
     bool known_to_majority(std::uint64_t cursor) const;
     std::vector<transport::endpoint> member_addresses() const;
     directory_server::view describe() const;
@@ -144,15 +133,13 @@
     time_point saved_at_{};
     directory_server directory_;
     std::map<transport::endpoint, std::unique_ptr<directory_client>> followed_;
-    std::map<std::uint64_t, pending_leave> leaves_;
-    std::uint64_t next_leave_{1};
+    leave_confirmations leaves_;
     std::unique_ptr<transport::http2_server> server_;
     transport::subscription ticks_;
     time_point started_;
     time_point group_changed_;
     std::uint64_t group_index_{0};
     duration_histogram submissions_;
-    duration_histogram confirmations_;
     bool removing_{false};
     bool current_{false};
 };
--- /dev/null
+++ b/src/fleet/leave_confirmations.cpp
@@ -0,0 +1,67 @@
+#include "fleet/leave_confirmations.hpp"
+
+#include "fleet/fleet_times.hpp"
+
+#include <utility>
+#include <vector>
+
+namespace boragestand::fleet
+{
+
+leave_confirmations::leave_confirmations(
+    transport::timer_service& timers, fleet_log& log,
+    std::function<bool(std::uint64_t)> known_to_majority)
+    : timers_(timers)
+    , log_(log)
+    , known_to_majority_(std::move(known_to_majority))
+{
+}
+
+void leave_confirmations::add(std::uint64_t upstream, std::uint64_t sequence,
+                              std::uint64_t cursor, done_callback callback)
+{
+    const auto id = next_id_++;
+    pending_.emplace(id, pending_leave{upstream, sequence, cursor,
+                                       timers_.now(), std::move(callback),
+                                       timers_.after(leave_confirmation,
+                                                     [this, id](time_point)
+                                                     { finish(id, false); })});
+    if (known_to_majority_(cursor))
+    {
+        finish(id, true);
+    }
+}
+
+void leave_confirmations::answer_confirmed()
+{
+    std::vector<std::uint64_t> confirmed;
+    for (const auto& [id, leave] : pending_)
+    {
+        if (known_to_majority_(leave.cursor))
+        {
+            confirmed.push_back(id);
+        }
+    }
+    for (const auto id : confirmed)
+    {
+        finish(id, true);
+    }
+}
+
+void leave_confirmations::finish(std::uint64_t id, bool confirmed)
+{
+    auto done = pending_.extract(id);
+    if (!done)
+    {
+        return;
+    }
+    auto& leave = done.mapped();
+    const auto taken = timers_.now() - leave.started;
+    times_.add(taken);
+    log_.leave_answered(leave.upstream, leave.sequence, confirmed, taken);
+    leave.callback(confirmed ? result<void>{}
+                             : failure(error_kind::no_quorum,
+                                       "no majority has confirmed the leave"));
+}
+
+} // namespace boragestand::fleet
