Accept upload routes and unknown words of a configuration

Change: upload is a kind of its own. A kind that this version does not know is logged (unknown_kinds) and may run once at most. Null counts as missing for optional fields, hints of another type count as not given, fractional timeouts are rounded up. What decides where packets go (services, address, weights, a timeout above 0) is still refused. Stored kinds of a newer version decode as unknown instead of ending the replica. Ruled out: dropping the kind altogether, since link scheduling and logs use it; refusing unknown kinds with a clearer text, since one word must not fail a whole deployment.

--- a/src/fleet/fleet_log.cpp
+++ b/src/fleet/fleet_log.cpp
@@ -87,6 +87,17 @@
                   });
 }
 
+void fleet_log::unknown_kinds(std::uint64_t version, std::size_t routes)
+{
+    lines().write(log_level::warn,
+                  [&]
+                  {
+                      return log_line("unknown_kinds")
+                          .with("version", version)
+                          .with("routes", routes);
+                  });
+}
+
 void fleet_log::plan_read(std::uint64_t version, std::string_view outcome,
                           duration taken)
 {
--- a/src/fleet/fleet_log.hpp
+++ b/src/fleet/fleet_log.hpp
@@ -29,6 +29,10 @@
     void plan_answered(std::uint64_t version, std::uint64_t in_force,
                        std::string_view outcome, duration taken);
 
+    /// A plan has routes of a kind that this version does not know; they are
+    /// served like others.
+    void unknown_kinds(std::uint64_t version, std::size_t routes);
+
     /// An operator's read was answered.
     void plan_read(std::uint64_t version, std::string_view outcome,
                    duration taken);
--- a/src/state/msgpack_codec.hpp
+++ b/src/state/msgpack_codec.hpp
@@ -32,6 +32,11 @@
 template <typename Enumeration>
 constexpr Enumeration last_enumerator = Enumeration{};
 
+/// Specialised for an enumeration that later versions may extend: what a number
+/// above the last enumerator decodes to. Without one, decoding fails.
+template <typename Enumeration>
+constexpr std::optional<Enumeration> fallback_enumerator = std::nullopt;
+
 /// Nesting depth of the deepest encoded type, plus a margin.
 constexpr std::size_t max_depth = 16;
 
@@ -167,13 +172,17 @@
                                                 Value& value)
 {
     std::uint8_t number = 0;
-    if (!read_integral(object, number) ||
-        number > static_cast<std::uint8_t>(last_enumerator<Value>))
+    if (!read_integral(object, number))
     {
         return false;
     }
-    value = static_cast<Value>(number);
-    return true;
+    if (number <= static_cast<std::uint8_t>(last_enumerator<Value>))
+    {
+        value = static_cast<Value>(number);
+        return true;
+    }
+    value = fallback_enumerator<Value>.value_or(value);
+    return fallback_enumerator<Value>.has_value();
 }
 
 inline bool read_value(const msgpack::object& object, std::string& value)
--- a/src/state/routing_plan.cpp
+++ b/src/state/routing_plan.cpp
@@ -56,6 +56,24 @@
 
 } // namespace
 
+std::string_view to_text(request_kind kind)
+{
+    switch (kind)
+    {
+    case request_kind::idempotent:
+        return "idempotent";
+    case request_kind::non_idempotent:
+        return "non_idempotent";
+    case request_kind::download:
+        return "download";
+    case request_kind::upload:
+        return "upload";
+    case request_kind::unknown:
+        break;
+    }
+    return "unknown";
+}
+
 result<void> check_plan(const routing_plan& plan)
 {
     if (plan.version == 0)
--- a/src/state/routing_plan.hpp
+++ b/src/state/routing_plan.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace boragestand::state
@@ -25,9 +26,14 @@
 {
     idempotent = 0,
     non_idempotent = 1,
-    download = 2 ///< idempotent, with a long answer
+    download = 2, ///< idempotent, with a long answer
+    upload = 3,   ///< runs once at most, with a long request
+    unknown = 4   ///< of a newer version; runs once at most
 };
 
+/// Name of a kind for logs.
+std::string_view to_text(request_kind kind);
+
 /// A destination that callers use and the services that serve it.
 struct service_route
 {
--- a/src/state/routing_plan_fields.hpp
+++ b/src/state/routing_plan_fields.hpp
@@ -8,7 +8,11 @@
 {
 
 template <>
-inline constexpr auto last_enumerator<request_kind> = request_kind::download;
+inline constexpr auto last_enumerator<request_kind> = request_kind::unknown;
+
+template <>
+inline constexpr auto
+    fallback_enumerator<request_kind> = std::optional(request_kind::unknown);
 
 template <>
 struct fields_of<weighted_service>
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <rapidcheck/gtest.h>
 
 namespace boragestand::platform
 {
@@ -163,6 +164,95 @@
     EXPECT_TRUE(state::check_plan(value->plan));
 }
 
+struct plan_word
+{
+    const char* name;
+    const char* route_patch; ///< merged into the first route
+    bool accepted;
+    state::request_kind kind;
+};
+
+class plan_words : public testing::TestWithParam<plan_word>
+{
+};
+
+// Guards against a whole configuration that is refused for one word, field or
+// null of a newer version, and against a route whose service is not certain.
+TEST_P(plan_words, decide_for_each_deviation)
+{
+    auto document = plan();
+    document["Routes"][0].merge_patch(
+        nlohmann::json::parse(GetParam().route_patch));
+    const auto decoded = decode_plan_document(document.dump());
+    ASSERT_EQ(decoded.has_value(), GetParam().accepted);
+    if (decoded)
+    {
+        EXPECT_EQ(decoded->plan.routes[0].kind, GetParam().kind);
+    }
+}
+
+using state::request_kind;
+INSTANTIATE_TEST_SUITE_P(
+    routes, plan_words,
+    testing::Values(
+        plan_word{"upload", R"({"Type":"upload"})", true, request_kind::upload},
+        plan_word{"new_kind", R"({"Type":"stream"})", true,
+                  request_kind::unknown},
+        plan_word{"kind_of_other_type", R"({"Type":7})", true,
+                  request_kind::unknown},
+        plan_word{"no_kind", R"({"Type":null})", true, request_kind::unknown},
+        plan_word{"new_field", R"({"Colour":{"x":[1]}})", true,
+                  request_kind::non_idempotent},
+        plan_word{"no_objective", R"({"TargetLatencyMs":null})", true,
+                  request_kind::non_idempotent},
+        plan_word{"odd_priority", R"({"Priority":"high"})", true,
+                  request_kind::non_idempotent},
+        plan_word{"fractional_timeout", R"({"TimeoutMs":0.5})", true,
+                  request_kind::non_idempotent},
+        plan_word{"negative_timeout", R"({"TimeoutMs":-1.5})", false,
+                  request_kind::non_idempotent},
+        plan_word{"text_timeout", R"({"TimeoutMs":"1s"})", false,
+                  request_kind::non_idempotent},
+        plan_word{"no_service", R"({"Service":null})", false,
+                  request_kind::non_idempotent},
+        plan_word{"no_address", R"({"Hostname":null})", false,
+                  request_kind::non_idempotent}),
+    [](const auto& each) { return each.param.name; });
+
+// Guards against optional members that a writer leaves out as null.
+TEST(message_codec, takes_null_for_a_missing_optional_field)
+{
+    auto document = plan();
+    document["Limits"] = nullptr;
+    document["Services"][0]["HealthPath"] = nullptr;
+    document["Services"][1]["MaxConnections"] = nullptr;
+    document["Routes"][0]["Backends"] = nullptr;
+    const auto decoded = decode_plan_document(document.dump());
+    ASSERT_TRUE(decoded) << decoded.error().message;
+    EXPECT_TRUE(state::check_plan(decoded->plan));
+    EXPECT_EQ(decoded->plan.routes[0].services[0].service, "desk");
+}
+
+// Guards against routes that change with kinds, fields and orders that a later
+// version adds.
+RC_GTEST_PROP(message_codec, reads_routes_beside_unknown_content, ())
+{
+    const auto text =
+        rc::gen::container<std::string>(rc::gen::inRange<char>(' ', '~'));
+    const auto kind = *text;
+    const auto name = *text;
+    auto document = plan();
+    const auto expected = decode_plan_document(document.dump())->plan;
+    document["Routes"][0]["Type"] = kind;
+    document["Routes"][0]["x-" + name] = *rc::gen::arbitrary<int>();
+    document["x-" + name] = {{name, kind}};
+    const auto decoded = decode_plan_document(document.dump());
+    RC_ASSERT(decoded.has_value());
+    auto plan = decoded->plan;
+    plan.routes[0].kind = expected.routes[0].kind;
+    RC_ASSERT(plan == expected);
+}
+
 // Guards against plans that are acknowledged although they cannot be decoded.
 TEST(message_codec, refuses_plans_that_cannot_be_read)
 {
--- a/tests/state/routing_plan_test.cpp
+++ b/tests/state/routing_plan_test.cpp
@@ -112,4 +112,20 @@
     EXPECT_FALSE(decode_submitted_plan(""));
 }
 
+// Guards against a replica that ends because another one, of a newer version,
+// has stored a kind that it does not know.
+TEST(plan_encoding, reads_kinds_of_a_newer_version_as_unknown)
+{
+    auto value = make_plan(9);
+    for (const auto kind : {request_kind::upload, request_kind::unknown,
+                            static_cast<request_kind>(100)})
+    {
+        value.plan.routes[0].kind = kind;
+        const auto decoded = decode_submitted_plan(encode_plan(value));
+        ASSERT_TRUE(decoded);
+        EXPECT_EQ(decoded->plan.routes[0].kind,
+                  std::min(kind, request_kind::unknown));
+    }
+}
+
 } // namespace boragestand::state
