--- a/src/coordination/token_router.cpp
+++ b/src/coordination/token_router.cpp
@@ -71,7 +71,7 @@
     for (const auto& route : plan.routes)
     {
         auto& target = routes_[route.address];
-        target.services = route.services;
+        target.route = route;
         for (const auto& each : route.services)
         {
             target.total_weight += each.weight;
@@ -80,6 +80,13 @@
     return true;
 }
 
+const state::service_route*
+token_router::find_route(const transport::endpoint& destination) const
+{
+    const auto found = routes_.find(destination);
+    return found == routes_.end() ? nullptr : &found->second.route;
+}
+
 token_decision token_router::drop(token_drop_reason reason)
 {
     ++counters_.drops[static_cast<std::size_t>(reason)];
@@ -157,7 +164,7 @@
                                                 std::uint64_t hash) const
 {
     auto rest = hash % std::max<std::uint64_t>(target.total_weight, 1);
-    for (const auto& each : target.services)
+    for (const auto& each : target.route.services)
     {
         if (rest < each.weight)
         {
@@ -165,7 +172,7 @@
         }
         rest -= each.weight;
     }
-    return target.services.back().service;
+    return target.route.services.back().service;
 }
 
 token_decision token_router::place_flow(const token_packet& packet,
--- a/src/coordination/token_router.hpp
+++ b/src/coordination/token_router.hpp
@@ -44,6 +44,10 @@
     /// second.
     void sweep(time_point now);
 
+    /// The route of a destination in the plan in force, or null.
+    const state::service_route*
+    find_route(const transport::endpoint& destination) const;
+
     std::uint64_t plan_version() const { return plan_version_; }
     std::size_t flow_count() const { return flows_.size(); }
     std::size_t upstream_count() const { return pool_.size(); }
@@ -80,7 +84,7 @@
 
     struct route_target
     {
-        std::vector<state::weighted_service> services;
+        state::service_route route;
         std::uint64_t total_weight{0};
     };
 
--- a/src/settings/fleet_settings.cpp
+++ b/src/settings/fleet_settings.cpp
@@ -3,6 +3,9 @@
 #include "settings/settings_reader.hpp"
 #include "settings/yaml_writer.hpp"
 
+#include <array>
+#include <charconv>
+
 namespace boragestand::settings
 {
 
@@ -21,6 +24,34 @@
     return text.empty() ? std::nullopt : check_endpoint(text);
 }
 
+constexpr double max_link_mbps = 1e6;
+
+std::optional<double> parse_link_rate(std::string_view text)
+{
+    double value = 0;
+    const auto* const last = text.data() + text.size();
+    const auto [end, fault] = std::from_chars(text.data(), last, value);
+    const bool valid = text.empty() || (fault == std::errc{} && end == last &&
+                                        value >= 0 && value <= max_link_mbps);
+    return valid ? std::optional(value) : std::nullopt;
+}
+
+std::optional<std::string> check_link_rate(std::string_view text)
+{
+    return parse_link_rate(text)
+               ? std::nullopt
+               : std::optional<std::string>("a rate from 0 to 1000000 Mbit/s");
+}
+
+void read_link_rate(mapping_reader& root, fleet_settings& settings)
+{
+    std::string text;
+    if (root.read_text("link_mbps", presence::optional, check_link_rate, text))
+    {
+        settings.link_mbps = parse_link_rate(text).value_or(0);
+    }
+}
+
 void read_addresses(mapping_reader& root, fleet_settings& settings)
 {
     auto reader = root.read_mapping("addresses", presence::required);
@@ -58,6 +89,15 @@
         });
 }
 
+// The shortest text that is read back to the same number.
+std::string to_text(double value)
+{
+    std::array<char, 32> buffer{};
+    const auto end =
+        std::to_chars(buffer.data(), buffer.data() + buffer.size(), value).ptr;
+    return {buffer.data(), end};
+}
+
 void check_role(mapping_reader& root, const fleet_settings& settings)
 {
     const bool entry = !settings.packets.empty();
@@ -101,6 +141,7 @@
                    document::check_any_text, settings.data_directory);
     root.read_integer("heartbeat_ms", presence::optional, heartbeat_range,
                       settings.heartbeat_ms);
+    read_link_rate(root, settings);
     read_log(root, settings.log);
     root.finish();
     return settings;
@@ -153,6 +194,7 @@
         .flag("first_start", settings.first_start)
         .pair("data_directory", settings.data_directory)
         .pair("heartbeat_ms", settings.heartbeat_ms)
+        .pair("link_mbps", to_text(settings.link_mbps))
         .mapping("log", [&] { write(writer, settings.log); });
     return writer.text();
 }
--- a/src/settings/fleet_settings.hpp
+++ b/src/settings/fleet_settings.hpp
@@ -35,6 +35,8 @@
     std::string data_directory; ///< of a control instance
     /// Normal interval between heartbeats of an upstream in milliseconds.
     std::uint32_t heartbeat_ms{1200};
+    /// Rate of the link of an entry instance in Mbit/s; 0: not limited.
+    double link_mbps{0};
     log_settings log;
 
     auto operator<=>(const fleet_settings&) const = default;
--- a/src/settings/settings_watch.cpp
+++ b/src/settings/settings_watch.cpp
@@ -84,6 +84,7 @@
     add_if(previous.first_start != next.first_start, "first_start");
     add_if(previous.data_directory != next.data_directory, "data_directory");
     add_if(previous.heartbeat_ms != next.heartbeat_ms, "heartbeat_ms");
+    add_if(previous.link_mbps != next.link_mbps, "link_mbps");
     add_if(previous.log.file != next.log.file, "log.file");
     return names;
 }
--- a/tests/platform/entry_service_test.cpp
+++ b/tests/platform/entry_service_test.cpp
@@ -36,7 +36,7 @@
     auto packets = transport::udp_socket::bind(any_local_port);
     ASSERT_TRUE(packets);
     const auto address = packets->local_endpoint();
-    entry_service service(node, std::move(*packets), timers, log);
+    entry_service service(node, std::move(*packets), {}, timers, log);
     service.start(loop);
 
     auto caller = transport::udp_socket::bind(any_local_port);
--- a/tests/settings/fleet_settings_test.cpp
+++ b/tests/settings/fleet_settings_test.cpp
@@ -44,6 +44,18 @@
     EXPECT_EQ(*again, *settings);
 }
 
+// Guards against a link rate that is cut to whole numbers, and against a start
+// that fails where the platform tells none.
+TEST(fleet_settings, take_the_rate_of_the_link)
+{
+    EXPECT_EQ(read_fleet_settings(entry)->link_mbps, 0.0);
+    EXPECT_EQ(read_fleet_settings(entry + "link_mbps: \"\"\n")->link_mbps, 0.0);
+    const auto settings = read_fleet_settings(entry + "link_mbps: \"2.7\"\n");
+    ASSERT_TRUE(settings);
+    EXPECT_EQ(settings->link_mbps, 2.7);
+    EXPECT_EQ(read_fleet_settings(to_yaml(*settings))->link_mbps, 2.7);
+}
+
 // Guards against a changed file that is not reloaded, and against an invalid
 // one that replaces valid settings.
 TEST(settings_watch, takes_changes_and_keeps_what_works)
@@ -87,7 +99,9 @@
     EXPECT_EQ(settings_needing_restart(former, next), "");
     next.readiness = "10.0.0.1:9001";
     next.heartbeat_ms = 700;
-    EXPECT_EQ(settings_needing_restart(former, next), "addresses,heartbeat_ms");
+    next.link_mbps = 10;
+    EXPECT_EQ(settings_needing_restart(former, next),
+              "addresses,heartbeat_ms,link_mbps");
 }
 
 // Guards against invalid settings that are accepted.
@@ -109,16 +123,20 @@
 
 INSTANTIATE_TEST_SUITE_P(
     faults, fleet_settings_faults,
-    testing::Values(bad_settings{"seeds", "seeds: [\"10.0.0.2:8100\"]",
-                                 "seeds: []", "at least one seed"},
-                    bad_settings{"seed", "10.0.0.2:8100", "10.0.0.2", "seeds"},
-                    bad_settings{"role", "packets: \"10.0.0.1:8000\", ", "",
-                                 "give either packets"},
-                    bad_settings{"readiness", "readiness: \"10.0.0.1:8001\", ",
-                                 "", "needs readiness"},
-                    bad_settings{"unknown",
-                                 "seeds:", "sedes: 1\nseeds:", "sedes"},
-                    bad_settings{"syntax", "instance: {", "instance: {{", ""}),
+    testing::Values(
+        bad_settings{"seeds", "seeds: [\"10.0.0.2:8100\"]", "seeds: []",
+                     "at least one seed"},
+        bad_settings{"seed", "10.0.0.2:8100", "10.0.0.2", "seeds"},
+        bad_settings{"role", "packets: \"10.0.0.1:8000\", ", "",
+                     "give either packets"},
+        bad_settings{"readiness", "readiness: \"10.0.0.1:8001\", ", "",
+                     "needs readiness"},
+        bad_settings{"unknown", "seeds:", "sedes: 1\nseeds:", "sedes"},
+        bad_settings{"link_rate",
+                     "seeds:", "link_mbps: fast\nseeds:", "link_mbps"},
+        bad_settings{"negative_link_rate",
+                     "seeds:", "link_mbps: -2\nseeds:", "link_mbps"},
+        bad_settings{"syntax", "instance: {", "instance: {{", ""}),
     [](const auto& each) { return each.param.name; });
 
 } // namespace boragestand::settings
