Count suspensions and drop packets of a former flow

Cause: the clock of all lifetimes was CLOCK_MONOTONIC, which stands still while a machine is suspended: a process that woke up held a confirmation of its plan and contact to its group for valid that had run out. And packets that wait for the link could reach a new flow between the same ends. Change: timer_service::now() reads CLOCK_BOOTTIME; link_scheduler discards what waits of a flow when another one opens between its ends.

--- a/src/traffic/link_scheduler.cpp
+++ b/src/traffic/link_scheduler.cpp
@@ -62,6 +62,10 @@
         return link_outcome::copy;
     }
     auto bulk_flow = flows_.end();
+    if (packet.opens)
+    {
+        discard_former(packet.flow);
+    }
     if (packet.data_size > 0 || packet.fin || packet.rst)
     {
         const auto flow = observe(packet, now);
@@ -227,6 +231,17 @@
     }
 }
 
+// Packets of a former flow between the same ends would reach the new one.
+void link_scheduler::discard_former(const flow_ends& ends)
+{
+    const auto former = flows_.find(ends);
+    if (former != flows_.end())
+    {
+        discard_all(former);
+        flows_.erase(former);
+    }
+}
+
 link_scheduler::flow_rank link_scheduler::rank(const flow_state& flow,
                                                time_point now) const
 {
--- a/src/traffic/link_scheduler.hpp
+++ b/src/traffic/link_scheduler.hpp
@@ -31,6 +31,7 @@
     flow_ends flow;
     std::uint32_t sequence{0};
     std::size_t data_size{0};   ///< bytes of data; 0: handshake or control
+    bool opens{false};          ///< first packet of a new flow
     bool fin{false};            ///< last packet of the flow
     bool rst{false};            ///< the caller gives up the flow
     std::uint32_t priority{0};  ///< of the route; 0 is the highest
@@ -197,6 +198,7 @@
     std::size_t size_on_link(std::size_t size) const;
     void discard_last(flow_map::iterator flow);
     void discard_all(flow_map::iterator flow);
+    void discard_former(const flow_ends& ends);
     std::optional<queued_datagram> take_next(time_point now);
     queued_datagram release(std::deque<waiting_packet>& queue, time_point now);
     void charge(std::size_t size, time_point now);
--- a/src/transport/timer_service.cpp
+++ b/src/transport/timer_service.cpp
@@ -1,6 +1,6 @@
 #include "transport/timer_service.hpp"
 
-#include <glib.h>
+#include <ctime>
 
 #include <utility>
 
@@ -11,7 +11,11 @@
 
 time_point timer_service::now() const
 {
-    return time_point(duration(g_get_monotonic_time()));
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::duration_cast<duration>(
+        std::chrono::seconds(time.tv_sec) +
+        std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 wall_time timer_service::wall_now() const
--- a/src/transport/timer_service.hpp
+++ b/src/transport/timer_service.hpp
@@ -14,7 +14,8 @@
 public:
     explicit timer_service(main_loop& loop);
 
-    /// Monotonic time since an arbitrary start.
+    /// Monotonic time since an arbitrary start. Counts time in which the
+    /// machine was suspended, so that what expires does so after a pause, too.
     time_point now() const;
 
     /// Wall-clock time.
--- a/tests/link/link_scheduler_test.cpp
+++ b/tests/link/link_scheduler_test.cpp
@@ -311,6 +311,25 @@
     EXPECT_LT(sent_of(2), 8U);
 }
 
+// Guards against packets of a former flow that reach a new one between the same
+// ends: they waited while the caller gave up and opened the flow again.
+TEST_F(link_scheduler_test, discards_what_waits_of_a_former_flow)
+{
+    offer_window(1);
+    offer_window(2);
+    auto opening = syn(2);
+    opening.opens = true;
+    opening.sequence = 900000;
+    offer(opening);
+    run(1s);
+    const auto opened =
+        std::find(sent_.begin(), sent_.end(),
+                  std::pair<std::uint32_t, std::uint32_t>(2, 900000));
+    ASSERT_NE(opened, sent_.end());
+    EXPECT_TRUE(std::none_of(opened + 1, sent_.end(),
+                             [](const auto& each) { return each.first == 2; }));
+}
+
 // Guards against packets that are lost when the process stops under load.
 TEST_F(link_scheduler_test, gives_out_everything_at_the_end)
 {
