Send the directory in pages and save leaves at once

A whole directory of 3,000 upstreams is 300 KB, longer on a link of 2 Mbit/s than the second for which an entry instance waits, so that it asked again from the start each time. (2) Each reply to an entry instance listed the load of all others, which nothing used, and each reply to a control instance the heartbeats of a second. (3) An upstream that had left was in use again after all control instances were killed within 4 s: its leave was not saved. A save that failed was not repeated. (4) A reply that had waited while the process was paused confirmed the plan anew. Change: pages of 200 records; changes of 20 ms together; heartbeats once a second; loads removed; replies dated by their request; save_schedule decides when the directory is saved, leaves after 0.1 s. Replies and requests of the former version do not decode: update all instances together.

--- a/src/coordination/directory_messages.cpp
+++ b/src/coordination/directory_messages.cpp
@@ -31,23 +31,13 @@
     }
 };
 
-template <>
-struct fields_of<entry_load>
-{
-    static auto tie(auto& value)
-    {
-        return std::tie(value.entry, value.new_flows, value.data_centre);
-    }
-};
-
 template <>
 struct fields_of<directory_request>
 {
     static auto tie(auto& value)
     {
         return std::tie(value.from_replica, value.sender, value.epoch,
-                        value.cursor, value.plan_version, value.wants_current,
-                        value.load);
+                        value.cursor, value.plan_version, value.wants_current);
     }
 };
 
@@ -58,7 +48,7 @@
     {
         return std::tie(value.epoch, value.cursor, value.current,
                         value.plan_version, value.upstreams, value.refreshes,
-                        value.plan, value.controls, value.loads);
+                        value.plan, value.controls, value.has_more);
     }
 };
 
--- a/src/coordination/directory_messages.hpp
+++ b/src/coordination/directory_messages.hpp
@@ -9,35 +9,24 @@
 namespace boragestand::coordination
 {
 
-/// Rate of new flows at an entry instance, so that instances can share
-/// upstreams.
-struct entry_load
-{
-    std::uint32_t entry{0};       ///< address of the instance
-    std::uint32_t new_flows{0};   ///< per second, smoothed
-    std::uint64_t data_centre{0}; ///< hash of its name
-
-    auto operator<=>(const entry_load&) const = default;
-};
-
 /// Requests the changes since the last reply of a control instance. The cursor
 /// also acknowledges that reply.
 struct directory_request
 {
     bool from_replica{false};      ///< from another control instance
-    transport::endpoint sender;    ///< of a replica: where it serves
+    transport::endpoint sender;    ///< where the sender serves other instances
     std::uint64_t epoch{0};        ///< of the last reply; 0: none
     std::uint64_t cursor{0};       ///< of the last reply
     std::uint64_t plan_version{0}; ///< version that the sender holds
     /// The last reply was not current; a current one should be sent at once.
     bool wants_current{false};
-    entry_load load; ///< of an entry instance
 
     auto operator<=>(const directory_request&) const = default;
 };
 
 /// Changes since a request's cursor, or all records if the epoch differs from
-/// the request's.
+/// the request's. Many records are sent in pages, so that a reply never takes
+/// longer on a small link than its receiver waits for it.
 struct directory_reply
 {
     std::uint64_t epoch{0}; ///< of this run of the control instance
@@ -50,7 +39,8 @@
     std::vector<upstream_refresh> refreshes;   ///< only for replicas
     std::optional<state::routing_plan> plan;   ///< if newer than the sender's
     std::vector<transport::endpoint> controls; ///< members of the group
-    std::vector<entry_load> loads;             ///< only for entry instances
+    /// Further records follow; the next request's cursor continues after these.
+    bool has_more{false};
 
     auto operator<=>(const directory_reply&) const = default;
 };
--- a/src/coordination/token_router.hpp
+++ b/src/coordination/token_router.hpp
@@ -3,6 +3,7 @@
 #include "base/metrics_text.hpp"
 #include "coordination/upstream_pool.hpp"
 
+#include <algorithm>
 #include <memory>
 #include <unordered_map>
 
@@ -33,8 +34,11 @@
     /// newer than the one in force.
     bool apply(const state::routing_plan& plan);
 
-    /// Records that the plan in force was confirmed to be the newest.
-    void confirm_plan(time_point now) { plan_confirmed_ = now; }
+    /// Records that the plan in force was the newest at this time.
+    void confirm_plan(time_point when)
+    {
+        plan_confirmed_ = std::max(plan_confirmed_.value_or(when), when);
+    }
 
     /// Reports that many packets wait to be read: answers to SYNs that seem
     /// unanswered may be among them.
--- a/src/coordination/token_router_types.hpp
+++ b/src/coordination/token_router_types.hpp
@@ -128,9 +128,10 @@
     /// Open flows added to the cost of an upstream in another data centre, for
     /// its longer round trip.
     double remote_penalty{0.3};
-    /// Callers are reset for lack of a route only if the plan was confirmed
-    /// within this time.
-    duration plan_confirmation_lifetime{std::chrono::seconds(1)};
+    /// Callers are reset for lack of a route only if the request for the last
+    /// confirmation of the plan was sent within this time. Confirmations arrive
+    /// every half second, each up to half a second after its request.
+    duration plan_confirmation_lifetime{std::chrono::milliseconds(1500)};
     std::size_t max_flows{200000};
 };
 
--- a/src/coordination/upstream_registry.cpp
+++ b/src/coordination/upstream_registry.cpp
@@ -140,6 +140,10 @@
 {
     target.record = record;
     target.last_change = ++cursor_;
+    if (record.condition != upstream_condition::ready)
+    {
+        leave_cursor_ = cursor_;
+    }
     target.updated_at = now;
     if (record.condition != upstream_condition::gone)
     {
@@ -261,20 +265,29 @@
 }
 
 std::vector<registered_upstream>
-upstream_registry::changes_since(std::uint64_t cursor, time_point now) const
+upstream_registry::changes_since(std::uint64_t cursor, time_point now,
+                                 std::size_t limit) const
 {
-    std::vector<registered_upstream> changes;
+    std::vector<const entry*> changed;
     for (const auto& [id, known] : records_)
     {
-        if (known.last_change <= cursor)
+        if (known.last_change > cursor)
         {
-            continue;
+            changed.push_back(&known);
         }
-        changes.push_back(known.record);
-        changes.back().warmup_left_ms =
-            warmup_left(known.record.warmup_left_ms, now - known.updated_at);
     }
-    return changes;
+    std::sort(changed.begin(), changed.end(),
+              [](const entry* left, const entry* right)
+              { return left->last_change < right->last_change; });
+    changed.resize(std::min(changed.size(), limit));
+    std::vector<registered_upstream> records;
+    for (const auto* known : changed)
+    {
+        records.push_back(known->record);
+        records.back().warmup_left_ms =
+            warmup_left(known->record.warmup_left_ms, now - known->updated_at);
+    }
+    return records;
 }
 
 std::vector<upstream_refresh>
--- a/src/coordination/upstream_registry.hpp
+++ b/src/coordination/upstream_registry.hpp
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -111,12 +112,17 @@
     /// Change counter over all records; never decreases.
     std::uint64_t cursor() const { return cursor_; }
 
+    /// Cursor of the last change that took an upstream out of use.
+    std::uint64_t leave_cursor() const { return leave_cursor_; }
+
     /// The cursor of an upstream's last change; 0 if it is not known.
     std::uint64_t last_change(std::uint64_t id) const;
 
-    /// Records that changed after a cursor, with their warm-up as of now.
-    std::vector<registered_upstream> changes_since(std::uint64_t cursor,
-                                                   time_point now) const;
+    /// Records that changed after a cursor, with their warm-up as of now, in
+    /// the order of their changes; at most limit of them.
+    std::vector<registered_upstream> changes_since(
+        std::uint64_t cursor, time_point now,
+        std::size_t limit = std::numeric_limits<std::size_t>::max()) const;
 
     /// Upstreams whose heartbeats this instance received itself since a time.
     std::vector<upstream_refresh> heartbeats_since(time_point since) const;
@@ -148,6 +154,7 @@
     std::map<std::uint64_t, entry> records_;
     std::map<transport::endpoint, std::uint64_t> by_address_;
     std::uint64_t cursor_{0};
+    std::uint64_t leave_cursor_{0};
     std::optional<time_point> last_expiry_;
 };
 
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -214,20 +214,19 @@
 {
     auto client = std::make_unique<directory_client>(
         loop_, timers_, member,
-        directory_client::hooks{
-            [this]
-            {
-                coordination::directory_request request;
-                request.from_replica = true;
-                request.sender = settings_.address;
-                return request;
-            },
-            [this](const coordination::directory_reply& reply, bool)
-            { apply_reply(reply); },
-            [](const error&)
-            {
-                return true;
-            }});
+        directory_client::hooks{[this]
+                                {
+                                    coordination::directory_request request;
+                                    request.from_replica = true;
+                                    request.sender = settings_.address;
+                                    return request;
+                                },
+                                [this](const directory_update& update)
+                                { apply_reply(update.reply); },
+                                [](const error&)
+                                {
+                                    return true;
+                                }});
     auto& added = member_clients_[member];
     added = std::move(client);
     added->start();
@@ -254,7 +253,7 @@
     }
     if (changed)
     {
-        directory_.publish();
+        directory_.publish_soon();
     }
 }
 
@@ -273,35 +272,33 @@
         registry_.apply(record, timers_.now());
         log_.upstream_changed(record, "disk");
     }
-    saved_cursor_ = registry_.cursor();
     if (saved->plan)
     {
         log_.plan_loaded(saved->plan->version, saved->plan->routes.size());
         saved_plan_ =
             std::make_shared<state::routing_plan>(std::move(*saved->plan));
     }
+    saves_.start_from({registry_.cursor(), registry_.leave_cursor(),
+                       saved_plan_ ? saved_plan_->version : 0});
 }
 
 void control_node::save_directory(time_point now)
 {
     const auto plan = newest_plan();
-    const bool new_plan =
-        plan->version > (saved_plan_ ? saved_plan_->version : 0);
-    const bool new_upstreams = saved_cursor_ != registry_.cursor();
-    const auto interval =
-        new_plan ? plan_save_interval : registry_save_interval;
-    if (now - saved_at_ < interval || (!new_plan && !new_upstreams))
+    const directory_position position{registry_.cursor(),
+                                      registry_.leave_cursor(), plan->version};
+    if (!saves_.is_due(position, now))
     {
         return;
     }
-    saved_at_ = now;
-    saved_cursor_ = registry_.cursor();
-    saved_plan_ = plan;
     const auto saved = store_.save({registry_.changes_since(0, now), *plan});
+    saves_.record(position, saved.has_value(), timers_.now() - now, now);
     if (!saved)
     {
         log_.request_failed("directory file", saved.error());
+        return;
     }
+    saved_plan_ = plan;
 }
 
 // Before the group has a leader, the saved plan may be newer than the plan
@@ -332,7 +329,7 @@
     }
     if (!lost.empty())
     {
-        directory_.publish();
+        directory_.publish_soon();
     }
 }
 
@@ -347,8 +344,8 @@
     std::size_t reached = 1;
     for (const auto& [address, client] : member_clients_)
     {
-        const auto replied = client->last_reply();
-        reached += replied && now - *replied <= contact_limit ? 1 : 0;
+        const auto contact = client->last_contact();
+        reached += contact && now - *contact <= contact_limit ? 1 : 0;
     }
     return reached > node.group().members.size() / 2;
 }
@@ -383,7 +380,7 @@
     if (outcome == coordination::update_outcome::changed)
     {
         log_.upstream_changed(record, "upstream");
-        directory_.publish();
+        directory_.publish_soon();
     }
     if (record.condition == coordination::upstream_condition::ready)
     {
@@ -402,7 +399,7 @@
     if (outcome == coordination::update_outcome::changed)
     {
         log_.upstream_changed(*registry_.find(upstream), "upstream");
-        directory_.publish();
+        directory_.publish_soon();
     }
     confirm_leave(upstream, 0, std::move(callback));
 }
--- a/src/fleet/control_node.hpp
+++ b/src/fleet/control_node.hpp
@@ -6,6 +6,7 @@
 #include "fleet/directory_store.hpp"
 #include "fleet/leave_confirmations.hpp"
 #include "fleet/plan_machine.hpp"
+#include "fleet/save_schedule.hpp"
 
 #include <functional>
 #include <map>
@@ -130,8 +131,7 @@
     coordination::upstream_registry registry_;
     directory_store store_;
     std::shared_ptr<const state::routing_plan> saved_plan_;
-    std::uint64_t saved_cursor_{0};
-    time_point saved_at_{};
+    save_schedule saves_;
     directory_server directory_;
     std::map<transport::endpoint, std::unique_ptr<directory_client>>
         member_clients_;
--- a/src/fleet/directory_client.cpp
+++ b/src/fleet/directory_client.cpp
@@ -26,6 +26,7 @@
 
 void directory_client::send_request()
 {
+    asked_at_ = timers_.now();
     auto request = hooks_.request();
     request.epoch = epoch_;
     request.cursor = cursor_;
@@ -59,21 +60,43 @@
                                           std::to_string(response->status)});
         return;
     }
-    const auto reply = coordination::decode_directory_reply(response->body);
+    auto reply = coordination::decode_directory_reply(response->body);
     if (!reply)
     {
         handle_failure(reply.error());
         return;
     }
-    const bool full = reply->epoch != epoch_;
+    if (reply->epoch != epoch_)
+    {
+        pages_.emplace();
+    }
     epoch_ = reply->epoch;
     cursor_ = reply->cursor;
     current_ = reply->current;
-    last_reply_ = timers_.now();
+    last_contact_ = asked_at_;
+    const auto update = take_page(std::move(*reply));
     // The callback may replace this client, so it runs last and the next
     // request is sent on a later turn of the loop.
     retry_ = timers_.after(duration(0), [this](time_point) { send_request(); });
-    hooks_.replied(*reply, full);
+    hooks_.replied(update);
+}
+
+directory_update
+directory_client::take_page(coordination::directory_reply reply)
+{
+    if (!pages_)
+    {
+        return {std::move(reply), reply_scope::changes, asked_at_};
+    }
+    pages_->insert(pages_->end(), reply.upstreams.begin(),
+                   reply.upstreams.end());
+    if (reply.has_more)
+    {
+        return {std::move(reply), reply_scope::part, asked_at_};
+    }
+    reply.upstreams = std::move(*pages_);
+    pages_.reset();
+    return {std::move(reply), reply_scope::whole, asked_at_};
 }
 
 void directory_client::handle_failure(const error& cause)
--- a/src/fleet/directory_client.hpp
+++ b/src/fleet/directory_client.hpp
@@ -8,6 +8,27 @@
 namespace boragestand::fleet
 {
 
+/// What a reply holds of the records of a control instance.
+enum class reply_scope : std::uint8_t
+{
+    changes, ///< those that have changed
+    part,    ///< some of all, further ones follow
+    whole    ///< all
+};
+
+/// A reply of a control instance.
+struct directory_update
+{
+    coordination::directory_reply reply; ///< with all records if whole
+    reply_scope scope{reply_scope::changes};
+    /// When the request was sent. The reply may have waited since it was
+    /// written, for example while this process was paused, so it proves nothing
+    /// about a later time.
+    time_point asked_at;
+
+    auto operator<=>(const directory_update&) const = default;
+};
+
 /// Polls the directory of one control instance continuously: the list of
 /// upstreams, the plan and the control instances.
 class directory_client
@@ -18,9 +39,8 @@
     {
         /// The next request; the client fills in what it knows of its replies.
         std::function<coordination::directory_request()> request;
-        /// A reply arrived; full is set if it holds all records.
-        std::function<void(const coordination::directory_reply&, bool full)>
-            replied;
+        /// A reply arrived.
+        std::function<void(const directory_update&)> replied;
         /// A request failed; returns true to retry.
         std::function<bool(const error&)> failed;
     };
@@ -38,11 +58,13 @@
 
     const transport::endpoint& remote() const { return remote_; }
 
-    /// When the last reply came; none before the first.
-    std::optional<time_point> last_reply() const { return last_reply_; }
+    /// When the last request that was answered was sent; none before the first
+    /// answer.
+    std::optional<time_point> last_contact() const { return last_contact_; }
 
 private:
     void send_request();
+    directory_update take_page(coordination::directory_reply reply);
     void handle_response(const result<transport::http_response>& response);
     void handle_failure(const error& cause);
 
@@ -55,7 +77,10 @@
     std::uint64_t cursor_{0};
     bool current_{false};
     bool stopped_{false};
-    std::optional<time_point> last_reply_;
+    time_point asked_at_;
+    std::optional<time_point> last_contact_;
+    /// Records of the pages of a whole directory; none outside of one.
+    std::optional<std::vector<coordination::registered_upstream>> pages_;
 };
 
 } // namespace boragestand::fleet
--- a/src/fleet/directory_server.cpp
+++ b/src/fleet/directory_server.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/fleet_times.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace boragestand::fleet
@@ -48,7 +49,7 @@
 {
     if (!request.from_replica)
     {
-        loads_[request.load.entry] = {request.load, timers_.now()};
+        entries_[request.sender] = timers_.now();
         return;
     }
     if (request.epoch != epoch_)
@@ -85,7 +86,6 @@
 void directory_server::reply(const directory_request& request,
                              const exchange& answer, const view& now)
 {
-    const auto time = timers_.now();
     directory_reply message;
     message.epoch = epoch_;
     message.cursor = registry_.cursor();
@@ -93,32 +93,70 @@
     message.plan_version = now.plan->version;
     message.controls = now.controls;
     const bool known = request.epoch == epoch_;
-    message.upstreams =
-        registry_.changes_since(known ? request.cursor : 0, time);
+    message.upstreams = registry_.changes_since(
+        known ? request.cursor : 0, timers_.now(), directory_page_size);
+    if (message.upstreams.size() == directory_page_size)
+    {
+        message.cursor = registry_.last_change(message.upstreams.back().id);
+        message.has_more = message.cursor < registry_.cursor();
+    }
     if (request.from_replica)
     {
-        message.refreshes =
-            registry_.heartbeats_since(time - 2 * directory_wait);
+        message.refreshes = take_refreshes(request.sender);
     }
-    else
+    else if (now.plan->version > request.plan_version)
     {
-        if (now.plan->version > request.plan_version)
-        {
-            message.plan = *now.plan;
-        }
-        for (const auto& [entry, load] : loads_)
-        {
-            if (time - load.at <= entry_load_lifetime)
-            {
-                message.loads.push_back(load.load);
-            }
-        }
+        message.plan = *now.plan;
     }
     answer->respond({.status = 200,
                      .headers = {},
                      .body = coordination::encode_message(message)});
 }
 
+// Heartbeats since the last list for this control instance. Lists overlap, so
+// that those of the time in which the last one was made are not missed.
+std::vector<coordination::upstream_refresh>
+directory_server::take_refreshes(const transport::endpoint& replica)
+{
+    constexpr duration overlap = std::chrono::milliseconds(100);
+    const auto now = timers_.now();
+    const auto [last, added] = refreshed_.try_emplace(replica, now);
+    if (added)
+    {
+        return registry_.heartbeats_since(now - refresh_interval);
+    }
+    if (now - last->second < refresh_interval)
+    {
+        return {};
+    }
+    const auto since = std::exchange(last->second, now) - overlap;
+    return registry_.heartbeats_since(since);
+}
+
+std::size_t directory_server::entry_count() const
+{
+    const auto now = timers_.now();
+    return static_cast<std::size_t>(
+        std::count_if(entries_.begin(), entries_.end(),
+                      [now](const auto& each)
+                      { return now - each.second <= entry_lifetime; }));
+}
+
+void directory_server::publish_soon()
+{
+    if (publish_pending_)
+    {
+        return;
+    }
+    publish_pending_ = true;
+    delayed_publish_ = timers_.after(publish_delay,
+                                     [this](time_point)
+                                     {
+                                         publish_pending_ = false;
+                                         publish();
+                                     });
+}
+
 void directory_server::publish()
 {
     if (waiting_.empty())
--- a/src/fleet/directory_server.hpp
+++ b/src/fleet/directory_server.hpp
@@ -36,9 +36,13 @@
     result<void> handle(const transport::http_request& request,
                         const exchange& answer);
 
-    /// Answers waiting requests after a change of the registry or the plan.
+    /// Answers waiting requests after a change of the plan.
     void publish();
 
+    /// Answers waiting requests after a change of the registry, together with
+    /// the changes of the next publish_delay.
+    void publish_soon();
+
     /// The cursor that a control instance has acknowledged in this run.
     std::uint64_t acknowledged(const transport::endpoint& replica) const;
 
@@ -49,7 +53,7 @@
     }
 
     /// Entry instances that asked within the last seconds.
-    std::size_t entry_count() const { return loads_.size(); }
+    std::size_t entry_count() const;
 
 private:
     struct waiting_request
@@ -59,15 +63,11 @@
         transport::subscription timeout;
     };
 
-    struct reported_load
-    {
-        coordination::entry_load load;
-        time_point at;
-    };
-
     bool has_changes(const coordination::directory_request& request,
                      const view& now) const;
     void record_sender(const coordination::directory_request& request);
+    std::vector<coordination::upstream_refresh>
+    take_refreshes(const transport::endpoint& replica);
     void reply(const coordination::directory_request& request,
                const exchange& answer, const view& now);
     void answer_timed_out(std::uint64_t id);
@@ -80,7 +80,12 @@
     std::map<std::uint64_t, waiting_request> waiting_;
     std::uint64_t next_waiting_{1};
     std::map<transport::endpoint, std::uint64_t> acknowledged_;
-    std::map<std::uint32_t, reported_load> loads_;
+    std::map<transport::endpoint, time_point>
+        entries_; ///< last request of each
+    /// When heartbeats were last listed for a control instance.
+    std::map<transport::endpoint, time_point> refreshed_;
+    transport::subscription delayed_publish_;
+    bool publish_pending_{false};
 };
 
 } // namespace boragestand::fleet
--- a/src/fleet/directory_subscription.cpp
+++ b/src/fleet/directory_subscription.cpp
@@ -93,9 +93,8 @@
         loop_, timers_, *control,
         directory_client::hooks{
             hooks_.request,
-            [this, from = *control](const coordination::directory_reply& reply,
-                                    bool full)
-            { handle_reply(from, reply, full); },
+            [this, from = *control](const directory_update& update)
+            { handle_reply(from, update); },
             [this, from = *control](const error& cause)
             {
                 handle_failure(from, cause.message);
@@ -174,14 +173,13 @@
     }
 }
 
-void directory_subscription::handle_reply(
-    const transport::endpoint& control,
-    const coordination::directory_reply& reply, bool full)
+void directory_subscription::handle_reply(const transport::endpoint& control,
+                                          const directory_update& update)
 {
     last_reply_ = timers_.now();
-    hooks_.replied(reply, full, control);
-    update_controls(reply.controls);
-    if (reply.current)
+    hooks_.replied(update, control);
+    update_controls(update.reply.controls);
+    if (update.reply.current)
     {
         handle_current_reply(control);
         return;
--- a/src/fleet/directory_subscription.hpp
+++ b/src/fleet/directory_subscription.hpp
@@ -19,8 +19,7 @@
     struct hooks
     {
         std::function<coordination::directory_request()> request;
-        /// full is set if the reply holds all records.
-        std::function<void(const coordination::directory_reply&, bool full,
+        std::function<void(const directory_update&,
                            const transport::endpoint& source)>
             replied;
     };
@@ -66,7 +65,7 @@
     void handle_failure(const transport::endpoint& control,
                         std::string_view reason);
     void handle_reply(const transport::endpoint& control,
-                      const coordination::directory_reply& reply, bool full);
+                      const directory_update& update);
     void handle_stale_reply(const transport::endpoint& control);
     void handle_current_reply(const transport::endpoint& control);
     void update_controls(const std::vector<transport::endpoint>& controls);
--- a/src/fleet/entry_node.cpp
+++ b/src/fleet/entry_node.cpp
@@ -13,9 +13,6 @@
 
 constexpr duration sweep_interval = std::chrono::milliseconds(200);
 
-// Weight of the newest second in the smoothed rate of new flows.
-constexpr double rate_smoothing = 0.4;
-
 } // namespace
 
 entry_node::entry_node(transport::main_loop& loop,
@@ -27,20 +24,15 @@
     , router_(settings.router)
     , directory_(loop, timers, settings.seeds, settings.address.address, log,
                  {[this] { return make_request(); },
-                  [this](const coordination::directory_reply& reply, bool full,
+                  [this](const directory_update& update,
                          const transport::endpoint& source)
                   {
-                      apply_reply(reply, full, source);
+                      apply_update(update, source);
                   }})
     , started_(timers.now())
-    , rate_updated_(started_)
 {
     sweep_ = timers.every(sweep_interval,
-                          [this](time_point now)
-                          {
-                              router_.sweep(now);
-                              update_flow_rate(now);
-                          });
+                          [this](time_point now) { router_.sweep(now); });
 }
 
 coordination::directory_request entry_node::make_request()
@@ -48,24 +40,22 @@
     coordination::directory_request request;
     request.sender = settings_.address;
     request.plan_version = router_.plan_version();
-    request.load = {settings_.address.address,
-                    static_cast<std::uint32_t>(new_flow_rate_),
-                    hash_text(settings_.data_centre)};
     return request;
 }
 
-void entry_node::apply_reply(const coordination::directory_reply& reply,
-                             bool full, const transport::endpoint& source)
+void entry_node::apply_update(const directory_update& update,
+                              const transport::endpoint& source)
 {
-    const auto now = timers_.now();
-    for (const auto& record : reply.upstreams)
+    const auto& reply = update.reply;
+    if (update.scope == reply_scope::changes)
     {
-        if (!full)
+        for (const auto& record : reply.upstreams)
         {
             log_.upstream_changed(record, transport::to_string(source));
         }
     }
-    router_.apply(reply.upstreams, full && reply.current, now);
+    const bool complete = update.scope == reply_scope::whole && reply.current;
+    router_.apply(reply.upstreams, complete, timers_.now());
     const auto former = router_.plan_version();
     if (reply.plan && router_.apply(*reply.plan))
     {
@@ -78,23 +68,8 @@
     }
     if (reply.current && reply.plan_version <= router_.plan_version())
     {
-        router_.confirm_plan(now);
-    }
-}
-
-void entry_node::update_flow_rate(time_point now)
-{
-    const auto passed = now - rate_updated_;
-    if (passed < std::chrono::seconds(1))
-    {
-        return;
+        router_.confirm_plan(update.asked_at);
     }
-    const auto placed = router_.counters().placed;
-    const double rate = static_cast<double>(placed - flows_at_rate_update_) /
-                        std::chrono::duration<double>(passed).count();
-    new_flow_rate_ += rate_smoothing * (rate - new_flow_rate_);
-    flows_at_rate_update_ = placed;
-    rate_updated_ = now;
 }
 
 coordination::token_decision
--- a/src/fleet/entry_node.hpp
+++ b/src/fleet/entry_node.hpp
@@ -71,9 +71,8 @@
 
 private:
     coordination::directory_request make_request();
-    void apply_reply(const coordination::directory_reply& reply, bool full,
-                     const transport::endpoint& source);
-    void update_flow_rate(time_point now);
+    void apply_update(const directory_update& update,
+                      const transport::endpoint& source);
 
     transport::timer_service& timers_;
     entry_node_settings settings_;
@@ -83,9 +82,6 @@
     std::function<void()> first_plan_callback_;
     transport::subscription sweep_;
     time_point started_;
-    time_point rate_updated_;
-    std::uint64_t flows_at_rate_update_{0};
-    double new_flow_rate_{0.0}; ///< per second, smoothed
 };
 
 } // namespace boragestand::fleet
--- a/src/fleet/fleet_times.hpp
+++ b/src/fleet/fleet_times.hpp
@@ -32,8 +32,20 @@
 /// reply.
 constexpr duration contact_limit = 2 * directory_timeout;
 
-/// The load that an entry instance reported is used this long.
-constexpr duration entry_load_lifetime = std::chrono::seconds(3);
+/// An entry instance that has not asked for this long no longer counts.
+constexpr duration entry_lifetime = std::chrono::seconds(3);
+
+/// Changes of upstreams are sent together after this time, so that many
+/// heartbeats in a row do not cost one reply each.
+constexpr duration publish_delay = std::chrono::milliseconds(20);
+
+/// Most records of one reply: about 20 KB, less than 0.1 s on a link of
+/// 2 Mbit/s.
+constexpr std::size_t directory_page_size = 200;
+
+/// Shortest time between two lists of heartbeats for one control instance. With
+/// the time between heartbeats it stays below the lease of an upstream.
+constexpr duration refresh_interval = std::chrono::seconds(1);
 
 /// Longest wait for a majority before the leave of an upstream is answered.
 /// Upstreams accept an answer only within a second.
@@ -59,6 +71,9 @@
 /// each waits for the disk.
 constexpr duration registry_save_interval = std::chrono::seconds(4);
 
+/// Shortest time between two saves for upstreams that leave.
+constexpr duration leave_save_interval = std::chrono::milliseconds(100);
+
 /// Shortest time between two saves for a new plan, which, unlike upstreams, no
 /// heartbeat restores.
 constexpr duration plan_save_interval = std::chrono::seconds(1);
--- /dev/null
+++ b/src/fleet/save_schedule.cpp
@@ -0,0 +1,58 @@
+#include "fleet/save_schedule.hpp"
+
+#include "fleet/fleet_times.hpp"
+
+#include <algorithm>
+
+namespace boragestand::fleet
+{
+
+namespace
+{
+
+// Each save waits for the disk; slow disks must not stop the process.
+constexpr int max_saving_share = 10;
+
+} // namespace
+
+bool save_schedule::is_due(const directory_position& position,
+                           time_point now) const
+{
+    auto interval = duration::max();
+    if (position.cursor != saved_.cursor)
+    {
+        interval = registry_save_interval;
+    }
+    if (position.plan_version > saved_.plan_version)
+    {
+        interval = plan_save_interval;
+    }
+    if (position.leave_cursor != saved_.leave_cursor)
+    {
+        interval = leave_save_interval;
+    }
+    if (interval == duration::max())
+    {
+        return false;
+    }
+    if (failed_)
+    {
+        interval = std::max(interval, plan_save_interval);
+    }
+    interval = std::max(interval, max_saving_share * last_duration_);
+    return now - last_attempt_ >= interval;
+}
+
+void save_schedule::record(const directory_position& position, bool succeeded,
+                           duration taken, time_point now)
+{
+    last_attempt_ = now;
+    last_duration_ = taken;
+    failed_ = !succeeded;
+    if (succeeded)
+    {
+        saved_ = position;
+    }
+}
+
+} // namespace boragestand::fleet
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -192,6 +192,55 @@
     EXPECT_EQ(fleet_.read(), "seven");
 }
 
+// Guards against an upstream that has left and is in use again after a restart
+// of all instances, because only its earlier record was saved.
+TEST_F(fleet_test, keeps_an_acknowledged_leave_over_a_restart_of_all)
+{
+    form_group(3);
+    ASSERT_TRUE(fleet_.submit(7, "seven"));
+    fleet_.send_heartbeat(1, make_upstream(1, 1));
+    fleet_.run_for(registry_save_interval + 500ms);
+    // Saved at once, so that the next regular save is seconds away.
+    fleet_.send_heartbeat(1, make_upstream(2, 1));
+    fleet_.run_for(500ms);
+    const auto left = fleet_.send_heartbeat(
+        1, make_upstream(1, 2, upstream_condition::draining));
+    ASSERT_TRUE(left && *left);
+    fleet_.run_for(500ms);
+    for (std::uint32_t number = 1; number <= 3; ++number)
+    {
+        fleet_.kill(number);
+    }
+    for (std::uint32_t number = 1; number <= 3; ++number)
+    {
+        fleet_.start(number, false);
+        EXPECT_EQ(condition(number, 1), upstream_condition::draining) << number;
+    }
+}
+
+// Guards against a directory that does not fit into one reply, and against
+// upstreams that stay in use although the whole directory no longer has them.
+TEST_F(fleet_test, sends_a_large_directory_in_pages)
+{
+    form_group(3);
+    ASSERT_TRUE(fleet_.submit(7, "seven"));
+    constexpr std::size_t upstreams = 2 * directory_page_size + 50;
+    for (std::uint64_t id = 1; id <= upstreams; ++id)
+    {
+        fleet_.at(1).handle_heartbeat(make_upstream(id, 1),
+                                      [](const result<void>&) {});
+    }
+    const auto entry = fleet_.make_entry();
+    ASSERT_TRUE(fleet_.run_until(
+        [&] { return entry->router().upstream_count() == upstreams; }));
+    EXPECT_TRUE(can_place(*entry, 1));
+    for (std::uint32_t number = 2; number <= 3; ++number)
+    {
+        EXPECT_TRUE(fleet_.run_until(
+            [&] { return fleet_.at(number).registry().size() == upstreams; }));
+    }
+}
+
 // Guards against entry instances that wait for an election after a power
 // failure of all instances, although the disks hold upstreams and a committed
 // plan.
--- a/tests/tokens/token_router_test.cpp
+++ b/tests/tokens/token_router_test.cpp
@@ -519,4 +519,25 @@
     }
 }
 
+// Guards against callers that are refused by a plan whose confirmation waited
+// in a socket while the process was paused.
+TEST_F(token_router_test, refuses_no_caller_by_an_outdated_confirmation)
+{
+    const auto unrouted = syn(1, {0xc6120003, 443});
+    const auto is_reset = [&]
+    {
+        return std::holds_alternative<reset_caller>(
+            router_.decide(unrouted, now_));
+    };
+    EXPECT_TRUE(is_reset());
+    now_ += 10s;
+    EXPECT_FALSE(is_reset());
+    router_.confirm_plan(now_ - 2s);
+    EXPECT_FALSE(is_reset());
+    router_.confirm_plan(now_);
+    EXPECT_TRUE(is_reset());
+    router_.confirm_plan(now_ - 2s);
+    EXPECT_TRUE(is_reset());
+}
+
 } // namespace boragestand::coordination
--- a/tests/tokens/upstream_registry_test.cpp
+++ b/tests/tokens/upstream_registry_test.cpp
@@ -241,7 +241,7 @@
     reply.plan = state::routing_plan{};
     reply.plan->version = 3;
     reply.controls = {{1, 2}};
-    reply.loads = {{1, 2, 3}};
+    reply.has_more = true;
     const auto text = encode_message(reply);
     const auto decoded = decode_directory_reply(text);
     ASSERT_TRUE(decoded);
@@ -253,4 +253,38 @@
     EXPECT_FALSE(decode_directory_request(text));
 }
 
+// Guards against pages of changes that leave out records: they come in the
+// order of their changes, so that a page ends at a cursor.
+TEST(upstream_registry_pages, hold_each_change_once_and_in_order)
+{
+    upstream_registry registry;
+    const time_point now{std::chrono::hours(1)};
+    for (std::uint64_t id = 20; id > 0; --id)
+    {
+        registered_upstream record;
+        record.id = id;
+        record.service = "desk";
+        record.address = {static_cast<std::uint32_t>(id), 80};
+        record.incarnation = 1;
+        record.sequence = 1;
+        registry.apply(record, now);
+    }
+    std::vector<std::uint64_t> ids;
+    std::uint64_t cursor = 0;
+    while (cursor < registry.cursor())
+    {
+        const auto page = registry.changes_since(cursor, now, 6);
+        ASSERT_FALSE(page.empty());
+        ASSERT_LE(page.size(), 6U);
+        for (const auto& record : page)
+        {
+            ids.push_back(record.id);
+        }
+        cursor = registry.last_change(page.back().id);
+    }
+    ASSERT_EQ(ids.size(), 20U);
+    EXPECT_EQ(ids.front(), 20U);
+    EXPECT_EQ(ids.back(), 1U);
+}
+
 } // namespace boragestand::coordination
