Answer requests that the kernel has accepted before a planned stop

Cause: stop_accepting() closed the listening socket with connections in its queue, which reset them, and a request that had arrived in part did not count as open, so that a control instance stopped under load cut off calls without an answer (heartbeats of leaving upstreams among them). Ruled out: requests already parsed, which the stop waited for before.

--- a/src/transport/http1_server.cpp
+++ b/src/transport/http1_server.cpp
@@ -13,6 +13,10 @@
 namespace
 {
 
+// After stop_accepting(), a connection without a complete request counts as one
+// this long after its last byte: its request may be under way.
+constexpr duration request_arrival_time = std::chrono::milliseconds(100);
+
 // Interval of the check for idle connections while any are open.
 constexpr duration idle_check_interval = std::chrono::seconds(2);
 
@@ -31,6 +35,7 @@
     http1_counters counters;
     std::vector<connection> connections;
     subscription idle_check;
+    bool stopping{false};
 
     implementation(main_loop& owner, timer_service& clock, tcp_listener opened,
                    const http1_limits& bounds, handler on_request)
@@ -158,14 +163,20 @@
 void http1_server::stop_accepting()
 {
     implementation_->listener.close();
+    implementation_->stopping = true;
 }
 
 std::size_t http1_server::open_requests() const
 {
+    const auto now = implementation_->timers.now();
+    const auto has_request = [this, now](const auto& each)
+    {
+        const bool recent = now - each->last_active() < request_arrival_time;
+        return each->is_busy() || (implementation_->stopping && recent);
+    };
     return static_cast<std::size_t>(
         std::count_if(implementation_->connections.begin(),
-                      implementation_->connections.end(),
-                      [](const auto& each) { return each->is_busy(); }));
+                      implementation_->connections.end(), has_request));
 }
 
 const http1_counters& http1_server::counters() const
--- a/src/transport/http2_server.cpp
+++ b/src/transport/http2_server.cpp
@@ -101,11 +101,12 @@
 
 void http2_server::stop_accepting()
 {
-    if (std::exchange(implementation_->stopping, true))
+    if (implementation_->stopping)
     {
         return;
     }
     implementation_->listener.close();
+    implementation_->stopping = true;
     for (const auto& connection : std::vector(implementation_->connections))
     {
         connection->stop_accepting();
--- a/src/transport/tcp_listener.cpp
+++ b/src/transport/tcp_listener.cpp
@@ -60,6 +60,7 @@
 
 void tcp_listener::close()
 {
+    accept_pending();
     watch_.cancel();
     pause_.cancel();
     fd_ = unique_fd();
--- a/src/transport/tcp_listener.hpp
+++ b/src/transport/tcp_listener.hpp
@@ -24,7 +24,8 @@
     /// Starts to accept. The listener must not move from then on.
     void start(accept_callback callback);
 
-    /// Closes the socket.
+    /// Accepts the connections that the kernel has accepted already, whose
+    /// requests may be under way, and closes the socket.
     void close();
 
     /// The bound endpoint, with the port that the kernel chose if 0 was
--- a/tests/transport/http1_server_test.cpp
+++ b/tests/transport/http1_server_test.cpp
@@ -192,4 +192,23 @@
     EXPECT_NE(read_until(third.value(), "/x").find("200"), std::string::npos);
 }
 
+// Load: a planned stop while callers connect. Guards against requests that are
+// cut off because the kernel, but not yet this process, has accepted them.
+TEST_F(http1_server_test, answers_what_was_accepted_before_it_stops)
+{
+    listen();
+    const auto early = connect();
+    send(early.value(), "GET /early HTTP/1.1\r\nhost: a\r\n\r\n");
+    const auto partial = connect();
+    send(partial.value(), "GET /partial HTTP/1.1\r\n");
+    server_->stop_accepting();
+    EXPECT_EQ(server_->open_requests(), 2U);
+    EXPECT_NE(read_until(early.value(), "/early").find("200"),
+              std::string::npos);
+    send(partial.value(), "host: a\r\n\r\n");
+    EXPECT_NE(read_until(partial.value(), "/partial").find("200"),
+              std::string::npos);
+    run_until([&] { return server_->open_requests() == 0; });
+}
+
 } // namespace boragestand::transport
