Test that a late second answer reaches no other request

Change: a test that answers a request twice, before and after the next request on its connection. The guard was there: http1_connection::respond() takes one answer for the latest request only. Ruled out: HTTP/2, where each answer belongs to a stream (http2.times_out_and_drops_the_late_answer).

--- a/tests/transport/http1_server_test.cpp
+++ b/tests/transport/http1_server_test.cpp
@@ -192,6 +192,31 @@
     EXPECT_NE(read_until(third.value(), "/x").find("200"), std::string::npos);
 }
 
+// Guards against a second copy of an answer, sent late on a connection that is
+// in use again: the next caller would get an answer that is not its own.
+TEST_F(http1_server_test, sends_no_second_answer_to_a_later_request)
+{
+    respond_immediately_ = false;
+    listen();
+    const auto fd = connect();
+    send(fd.value(), "GET /one HTTP/1.1\r\nhost: a\r\n\r\n");
+    run_until([&] { return responders_.size() == 1; });
+    const auto answer = [this](std::size_t request, const std::string& body)
+    {
+        responders_[request]({.status = 200, .headers = {}, .body = body});
+    };
+    answer(0, "first");
+    answer(0, "copy");
+    EXPECT_NE(read_until(fd.value(), "first").find("first"), std::string::npos);
+    send(fd.value(), "GET /two HTTP/1.1\r\nhost: a\r\n\r\n");
+    run_until([&] { return responders_.size() == 2; });
+    answer(0, "copy");
+    answer(1, "second");
+    const auto text = read_until(fd.value(), "second");
+    EXPECT_EQ(text.find("copy"), std::string::npos);
+    EXPECT_NE(text.find("second"), std::string::npos);
+}
+
 // Load: a planned stop while callers connect. Guards against requests that are
 // cut off because the kernel, but not yet this process, has accepted them.
 TEST_F(http1_server_test, answers_what_was_accepted_before_it_stops)
