Move routing by token into the traffic library

Cause: the decisions about packets under load stood in coordination, beside consensus and owner routing, and link_scheduler had a type of its own for both ends of a flow. Change: git mv of token_router, upstream_pool and routing_token to src/traffic (namespace boragestand::traffic), which link_scheduler now shares its types with. No behaviour changes.

--- a/src/coordination/coordination.hpp
+++ b/src/coordination/coordination.hpp
@@ -10,6 +10,6 @@
 #include "coordination/directory_messages.hpp"
 #include "coordination/flow_events.hpp"
 #include "coordination/flow_router.hpp"
-#include "coordination/token_router.hpp"
 #include "coordination/traffic_policy.hpp"
 #include "coordination/traffic_types.hpp"
+#include "coordination/upstream_registry.hpp"
--- a/src/fleet/entry_node.cpp
+++ b/src/fleet/entry_node.cpp
@@ -72,8 +72,8 @@
     }
 }
 
-coordination::token_decision
-entry_node::decide(const coordination::token_packet& packet, time_point now)
+traffic::token_decision entry_node::decide(const traffic::token_packet& packet,
+                                           time_point now)
 {
     return router_.decide(packet, now);
 }
@@ -115,9 +115,9 @@
                   "Packets dropped without an answer", "counter");
     for (std::size_t i = 0; i < counters.drops.size(); ++i)
     {
-        const auto reason = static_cast<coordination::token_drop_reason>(i);
+        const auto reason = static_cast<traffic::token_drop_reason>(i);
         text += "boragestand_drops_total{reason=\"" +
-                std::string(coordination::to_text(reason)) + "\"} " +
+                std::string(traffic::to_text(reason)) + "\"} " +
                 std::to_string(counters.drops[i]) + '\n';
     }
     append_gauge(text, "boragestand_flows", "Flows known here",
--- a/src/fleet/entry_node.hpp
+++ b/src/fleet/entry_node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/directory_subscription.hpp"
+#include "traffic/traffic.hpp"
 
 #include <functional>
 #include <utility>
@@ -15,7 +16,7 @@
     std::string data_centre;
     std::vector<transport::endpoint>
         seeds; ///< control instances to query first
-    coordination::token_router_settings router;
+    traffic::token_router_settings router;
 };
 
 /// An entry instance of a fleet with automatic discovery. Routes packets by
@@ -42,8 +43,8 @@
     }
 
     /// Returns what to do with one packet.
-    coordination::token_decision
-    decide(const coordination::token_packet& packet, time_point now);
+    traffic::token_decision decide(const traffic::token_packet& packet,
+                                   time_point now);
 
     /// Reports that many packets wait; see token_router::report_backlog.
     void report_backlog(time_point now) { router_.report_backlog(now); }
@@ -67,7 +68,7 @@
     /// The control instance that supplies the directory.
     transport::endpoint source() const { return directory_.source(); }
 
-    const coordination::token_router& router() const { return router_; }
+    const traffic::token_router& router() const { return router_; }
 
 private:
     coordination::directory_request make_request();
@@ -77,7 +78,7 @@
     transport::timer_service& timers_;
     entry_node_settings settings_;
     fleet_log& log_;
-    coordination::token_router router_;
+    traffic::token_router router_;
     directory_subscription directory_;
     std::function<void()> first_plan_callback_;
     transport::subscription sweep_;
--- a/src/traffic/link_scheduler.cpp
+++ b/src/traffic/link_scheduler.cpp
@@ -216,7 +216,7 @@
 }
 
 // Packets of a former flow between the same ends would reach the new one.
-void link_scheduler::discard_former(const flow_ends& ends)
+void link_scheduler::discard_former(const token_flow& ends)
 {
     const auto former = flows_.find(ends);
     if (former != flows_.end())
--- a/src/traffic/link_scheduler.hpp
+++ b/src/traffic/link_scheduler.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "base/metrics_text.hpp"
-#include "transport/transport.hpp"
+#include "traffic/token_router_types.hpp"
 
 #include <compare>
 #include <cstddef>
@@ -15,19 +15,10 @@
 namespace boragestand::traffic
 {
 
-/// Both ends of a flow.
-struct flow_ends
-{
-    transport::endpoint caller;
-    transport::endpoint destination;
-
-    auto operator<=>(const flow_ends&) const = default;
-};
-
 /// What the scheduler needs to know of a packet.
 struct link_packet
 {
-    flow_ends flow;
+    token_flow flow;
     std::uint32_t sequence{0};
     std::size_t data_size{0};   ///< bytes of data; 0: handshake or control
     bool opens{false};          ///< first packet of a new flow
@@ -143,7 +134,7 @@
     /// Identifies a packet among the copies of it.
     struct packet_key
     {
-        flow_ends flow;
+        token_flow flow;
         std::uint32_t sequence{0};
         std::size_t data_size{0};
         bool fin{false};
@@ -176,7 +167,7 @@
         given_up ///< its caller has probably given up
     };
 
-    using flow_map = std::map<flow_ends, flow_state>;
+    using flow_map = std::map<token_flow, flow_state>;
 
     flow_map::iterator observe(const link_packet& packet, time_point now);
     bool is_bulk(const link_packet& packet, const flow_state& flow) const;
@@ -192,7 +183,7 @@
     std::size_t size_on_link(std::size_t size) const;
     void discard_last(flow_map::iterator flow);
     void discard_all(flow_map::iterator flow);
-    void discard_former(const flow_ends& ends);
+    void discard_former(const token_flow& ends);
     std::optional<queued_datagram> take_next(time_point now);
     queued_datagram release(std::deque<waiting_packet>& queue, time_point now);
     void charge(std::size_t size, time_point now);
--- a/src/coordination/routing_token.hpp
+++ b/src/traffic/routing_token.hpp
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 
-namespace boragestand::coordination
+namespace boragestand::traffic
 {
 
 /// Token that callers and upstreams echo in each packet of a flow. It
@@ -26,4 +26,4 @@
     return token == 0 ? 1 : token;
 }
 
-} // namespace boragestand::coordination
+} // namespace boragestand::traffic
--- a/src/coordination/token_router.cpp
+++ b/src/traffic/token_router.cpp
@@ -1,8 +1,8 @@
-#include "coordination/token_router.hpp"
+#include "traffic/token_router.hpp"
 
 #include <algorithm>
 
-namespace boragestand::coordination
+namespace boragestand::traffic
 {
 
 namespace
@@ -326,4 +326,4 @@
     pool_.expire(now);
 }
 
-} // namespace boragestand::coordination
+} // namespace boragestand::traffic
--- a/src/coordination/token_router.hpp
+++ b/src/traffic/token_router.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "base/metrics_text.hpp"
-#include "coordination/upstream_pool.hpp"
+#include "traffic/upstream_pool.hpp"
 
 #include <algorithm>
 #include <memory>
 #include <unordered_map>
 
-namespace boragestand::coordination
+namespace boragestand::traffic
 {
 
 /// Routes packets of callers. Callers and upstreams echo a routing token. A new
@@ -24,8 +24,8 @@
     token_decision decide(const token_packet& packet, time_point now);
 
     /// Applies upstream records; see upstream_pool::apply.
-    void apply(const std::vector<registered_upstream>& records, bool full,
-               time_point now)
+    void apply(const std::vector<coordination::registered_upstream>& records,
+               bool full, time_point now)
     {
         pool_.apply(records, full, now);
     }
@@ -117,4 +117,4 @@
     duration_histogram lifetimes_;
 };
 
-} // namespace boragestand::coordination
+} // namespace boragestand::traffic
--- a/src/coordination/token_router_types.hpp
+++ b/src/traffic/token_router_types.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "coordination/routing_token.hpp"
-#include "coordination/upstream_registry.hpp"
+#include "coordination/coordination.hpp"
+#include "traffic/routing_token.hpp"
 
 #include <array>
 #include <compare>
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <variant>
 
-namespace boragestand::coordination
+namespace boragestand::traffic
 {
 
 /// Endpoints of a flow as the caller addresses them.
@@ -147,4 +147,4 @@
     std::array<std::uint64_t, 5> drops{}; ///< by token_drop
 };
 
-} // namespace boragestand::coordination
+} // namespace boragestand::traffic
--- a/src/coordination/upstream_pool.cpp
+++ b/src/traffic/upstream_pool.cpp
@@ -1,10 +1,10 @@
-#include "coordination/upstream_pool.hpp"
+#include "traffic/upstream_pool.hpp"
 
 #include <algorithm>
 #include <set>
 #include <tuple>
 
-namespace boragestand::coordination
+namespace boragestand::traffic
 {
 
 namespace
@@ -14,8 +14,8 @@
 constexpr double avoided_cost = 10000.0;
 
 // A control instance that lags behind can send outdated records.
-bool is_older(const registered_upstream& record,
-              const registered_upstream& known)
+bool is_older(const coordination::registered_upstream& record,
+              const coordination::registered_upstream& known)
 {
     return std::tie(record.incarnation, record.sequence, record.condition) <
            std::tie(known.incarnation, known.sequence, known.condition);
@@ -28,8 +28,9 @@
 
 } // namespace
 
-void upstream_pool::apply(const std::vector<registered_upstream>& records,
-                          bool full, time_point now)
+void upstream_pool::apply(
+    const std::vector<coordination::registered_upstream>& records, bool full,
+    time_point now)
 {
     std::set<std::uint64_t> present;
     for (const auto& record : records)
@@ -48,8 +49,8 @@
     }
 }
 
-void upstream_pool::apply_record(const registered_upstream& record,
-                                 time_point now)
+void upstream_pool::apply_record(
+    const coordination::registered_upstream& record, time_point now)
 {
     auto& target = members_[record.id];
     if (target.token != 0 && is_older(record, target.record))
@@ -177,7 +178,8 @@
     for (const auto id : ids->second)
     {
         auto& candidate = members_.at(id);
-        if (candidate.record.condition != upstream_condition::ready ||
+        if (candidate.record.condition !=
+                coordination::upstream_condition::ready ||
             candidate.token_conflicts || candidate.unlisted)
         {
             continue;
@@ -274,7 +276,7 @@
     {
         const auto& known = it->second;
         const bool forgotten =
-            known.record.condition == upstream_condition::gone &&
+            known.record.condition == coordination::upstream_condition::gone &&
             now - known.updated_at >= settings_.former_token_lifetime;
         if (!forgotten)
         {
@@ -290,4 +292,4 @@
     }
 }
 
-} // namespace boragestand::coordination
+} // namespace boragestand::traffic
--- a/src/coordination/upstream_pool.hpp
+++ b/src/traffic/upstream_pool.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/token_router_types.hpp"
+#include "traffic/token_router_types.hpp"
 
 #include <deque>
 #include <map>
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace boragestand::coordination
+namespace boragestand::traffic
 {
 
 /// Upstreams known to a token_router, with the load and health of each as
@@ -20,7 +20,7 @@
     /// One upstream.
     struct member
     {
-        registered_upstream record;
+        coordination::registered_upstream record;
         routing_token token{0};
         std::uint64_t data_centre{0}; ///< hash of the name
         bool remote{false};           ///< in another data centre
@@ -43,8 +43,8 @@
 
     /// Applies records. In a full update, upstreams without a record get no new
     /// flows until a later update contains them.
-    void apply(const std::vector<registered_upstream>& records, bool full,
-               time_point now);
+    void apply(const std::vector<coordination::registered_upstream>& records,
+               bool full, time_point now);
 
     /// The upstream that a token names, or null.
     member* find_by_token(routing_token token);
@@ -94,7 +94,8 @@
         std::size_t silent_upstreams{0}; ///< in the last check
     };
 
-    void apply_record(const registered_upstream& record, time_point now);
+    void apply_record(const coordination::registered_upstream& record,
+                      time_point now);
     bool is_silent(const member& candidate, time_point now) const;
     void suspend_silent_data_centres(time_point now);
     void end_suspensions(std::uint64_t data_centre);
@@ -110,4 +111,4 @@
     std::unordered_map<routing_token, former_token> former_tokens_;
 };
 
-} // namespace boragestand::coordination
+} // namespace boragestand::traffic
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -35,21 +35,21 @@
 
     bool can_place(entry_node& entry, std::uint16_t port)
     {
-        coordination::token_packet syn;
+        traffic::token_packet syn;
         syn.flow = {{0x64400001, port}, {0xc6120001, 443}};
         syn.syn = true;
         const auto decision = entry.decide(syn, fleet_.timers().now());
-        return std::holds_alternative<coordination::forward_packet>(decision);
+        return std::holds_alternative<traffic::forward_packet>(decision);
     }
 
     bool is_reset(entry_node& entry, std::uint16_t port,
                   std::uint16_t destination)
     {
-        coordination::token_packet syn;
+        traffic::token_packet syn;
         syn.flow = {{0x64400001, port}, {0xc6120001, destination}};
         syn.syn = true;
         const auto decision = entry.decide(syn, fleet_.timers().now());
-        return std::holds_alternative<coordination::reset_caller>(decision);
+        return std::holds_alternative<traffic::reset_caller>(decision);
     }
 
     fleet_group fleet_;
--- a/tests/platform/entry_service_test.cpp
+++ b/tests/platform/entry_service_test.cpp
@@ -33,7 +33,7 @@
 std::vector<std::byte> make_packet(std::uint32_t sequence, std::size_t size,
                                    bool syn)
 {
-    coordination::token_flow flow{desk, {0x64400001, 40001}};
+    traffic::token_flow flow{desk, {0x64400001, 40001}};
     const auto header = make_reset(flow);
     std::vector<std::byte> packet(header.begin(), header.end());
     packet.resize(header.size() + size);
--- a/tests/tokens/token_router_test.cpp
+++ b/tests/tokens/token_router_test.cpp
@@ -1,11 +1,11 @@
-#include "coordination/coordination.hpp"
+#include "traffic/traffic.hpp"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 #include <set>
 
-namespace boragestand::coordination
+namespace boragestand::traffic
 {
 
 namespace
@@ -16,11 +16,12 @@
 constexpr transport::endpoint desk{0xc6120001, 443};
 constexpr transport::endpoint maps{0xc6120002, 443};
 
-registered_upstream upstream(std::uint64_t id, const std::string& service,
-                             const std::string& data_centre = "a",
-                             std::uint64_t incarnation = 1000)
+coordination::registered_upstream upstream(std::uint64_t id,
+                                           const std::string& service,
+                                           const std::string& data_centre = "a",
+                                           std::uint64_t incarnation = 1000)
 {
-    registered_upstream record;
+    coordination::registered_upstream record;
     record.id = id;
     record.service = service;
     record.address = {0x0a000000 + static_cast<std::uint32_t>(id), 8080};
@@ -79,7 +80,7 @@
         return value;
     }
 
-    void add(const std::vector<registered_upstream>& records)
+    void add(const std::vector<coordination::registered_upstream>& records)
     {
         router_.apply(records, false, now_);
     }
@@ -189,9 +190,9 @@
 // Guards against new flows on upstreams that leave, are gone or are lost.
 TEST_F(token_router_test, places_nothing_on_upstreams_that_are_not_ready)
 {
-    for (const auto condition :
-         {upstream_condition::draining, upstream_condition::lost,
-          upstream_condition::gone})
+    for (const auto condition : {coordination::upstream_condition::draining,
+                                 coordination::upstream_condition::lost,
+                                 coordination::upstream_condition::gone})
     {
         auto leaving = upstream(1, "desk");
         leaving.sequence = 10 + static_cast<std::uint64_t>(condition);
@@ -211,7 +212,7 @@
     const auto chosen = open(5);
     auto leaving = upstream(1, "desk");
     leaving.sequence = 2;
-    leaving.condition = upstream_condition::draining;
+    leaving.condition = coordination::upstream_condition::draining;
     add({leaving, upstream(2, "desk")});
     auto next = packet(5);
     next.token = make_routing_token(1, 1000);
@@ -320,7 +321,7 @@
 // on the first upstream whose answer it has read.
 TEST_F(token_router_test, takes_no_upstream_for_silent_while_it_is_behind)
 {
-    std::vector<registered_upstream> records;
+    std::vector<coordination::registered_upstream> records;
     for (std::uint64_t id = 1; id <= 14; ++id)
     {
         records.push_back(upstream(id, "desk"));
@@ -383,7 +384,7 @@
 // upstream, 60 ms, may be lost.
 TEST_F(token_router_test, avoids_a_data_centre_that_is_silent)
 {
-    std::vector<registered_upstream> records;
+    std::vector<coordination::registered_upstream> records;
     for (std::uint64_t id = 1; id <= 12; ++id)
     {
         records.push_back(upstream(id, "desk", id <= 2 ? "a" : "b"));
@@ -426,7 +427,7 @@
 {
     auto leaving = upstream(1, "desk");
     leaving.sequence = 5;
-    leaving.condition = upstream_condition::draining;
+    leaving.condition = coordination::upstream_condition::draining;
     add({leaving, upstream(2, "desk")});
     add({upstream(1, "desk")});
     for (std::uint16_t port = 1; port < 10; ++port)
@@ -458,7 +459,7 @@
     open(2);
     auto gone = upstream(1, "desk");
     gone.sequence = 2;
-    gone.condition = upstream_condition::gone;
+    gone.condition = coordination::upstream_condition::gone;
     add({gone});
     for (int second = 0; second < 70; ++second)
     {
@@ -494,7 +495,7 @@
 RC_GTEST_PROP(token_router_property, routes_tokens_alike_everywhere,
               (const std::vector<std::uint8_t>& ports))
 {
-    std::vector<registered_upstream> records;
+    std::vector<coordination::registered_upstream> records;
     for (std::uint64_t id = 1; id <= 20; ++id)
     {
         records.push_back(upstream(id, "desk"));
@@ -540,4 +541,4 @@
     EXPECT_TRUE(is_reset());
 }
 
-} // namespace boragestand::coordination
+} // namespace boragestand::traffic
