Repeat each list of heartbeats once

Cause: read-through. A list of heartbeats for a control instance was sent once; with two lost replies in a row an upstream could be without a heartbeat for longer than its lease at other instances, and be taken for lost. Change: each list covers the time of the one before as well. Ruled out: acknowledging lists, which needs a field more.

--- a/src/fleet/directory_server.cpp
+++ b/src/fleet/directory_server.cpp
@@ -113,12 +113,11 @@
                      .body = coordination::encode_message(message)});
 }
 
-// Heartbeats since the last list for this control instance. Lists overlap, so
-// that those of the time in which the last one was made are not missed.
+// Each list repeats the time of the one before, whose reply may have been lost:
+// an upstream without heartbeats for its lease would be taken for lost.
 std::vector<coordination::upstream_refresh>
 directory_server::take_refreshes(const transport::endpoint& replica)
 {
-    constexpr duration overlap = std::chrono::milliseconds(100);
     const auto now = timers_.now();
     const auto [last, added] = refreshed_.try_emplace(replica, now);
     if (added)
@@ -129,7 +128,7 @@
     {
         return {};
     }
-    const auto since = std::exchange(last->second, now) - overlap;
+    const auto since = std::exchange(last->second, now) - refresh_interval;
     return registry_.heartbeats_since(since);
 }
 
