--- a/review/beyond/case.py
+++ b/review/beyond/case.py
@@ -24,20 +24,10 @@
         super().__init__(HERE)
         self.ends = []
 
-    async def watch(self, machine):
-        while not self.stopping:
-            if not machine.running():
-                self.ends.append(machine)
-                self.world.note(f"{machine.name} ends by itself, status "
-                                f"{machine.process.returncode}")
-                await asyncio.sleep(0.5)
-                machine.start()
-            await asyncio.sleep(0.05)
-
     async def play(self):
         world = self.world
         for machine in world.controls + world.entries:
-            self.add_user(self.watch(machine))
+            self.add_user(self.watch(machine, self.ends))
         host = world.hosts[0]
         await host.leave(DRAIN_S + 0.2)
         await asyncio.sleep(REUSE_DELAY_S + 0.2)
--- a/review/common/base_case.py
+++ b/review/common/base_case.py
@@ -64,6 +64,17 @@
         for user in self.users:
             user.cancel()
 
+    async def watch(self, machine, ends):
+        """The platform starts a process that has ended by itself again."""
+        while not self.stopping:
+            if not machine.running():
+                ends.append(machine)
+                self.world.note(f"{machine.name} ends by itself, status "
+                                f"{machine.process.returncode}")
+                await asyncio.sleep(0.5)
+                machine.start()
+            await asyncio.sleep(0.05)
+
     def add_user(self, work):
         self.users.append(asyncio.ensure_future(work))
 
