--- a/review/beyond/case.py
+++ b/review/beyond/control/case.py
@@ -7,7 +7,7 @@
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "common"))
+sys.path.insert(0, os.path.join(HERE, "..", "..", "common"))
 
 from base_case import TROUBLE, Case, main  # noqa: E402
 
@@ -45,4 +45,4 @@
 
 
 if __name__ == "__main__":
-    main(EndOfControl())
+    main(EndOfControl)
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 # checks that they can be read and that the programs under test are there.
 set -eu
 cd "$(dirname "$0")/.."
-python3 - review/common/*.py review/[3-5]/*.py review/beyond/*.py <<'CHECK'
+python3 - review/common/*.py review/[34]/*.py review/beyond/*/*.py <<'CHECK'
 import ast
 import sys
 for path in sys.argv[1:]:
--- a/review/common/base_case.py
+++ b/review/common/base_case.py
@@ -6,6 +6,7 @@
 import random
 import signal
 import sys
+import traceback
 
 from standins import ACK, FIN, Flow, World, configuration
 
@@ -18,7 +19,7 @@
     limit_s = 110.0
     entries = 3
     services = ("desk",) * 4 + ("maps",) * 2  # of the hosts
-    routes = {"desk": ("198.18.0.1", 8443), "maps": ("198.18.0.2", 8080)}
+    routes = {"desk": ("127.198.0.1", 8443), "maps": ("127.198.0.2", 8080)}
     max_requests = None  # on one flow, after which the host closes it
 
     def __init__(self, folder):
@@ -146,11 +147,18 @@
         print("the case took too long")
     except asyncio.CancelledError:
         print("the case was stopped")
+    except Exception:  # a fault of the case is no verdict
+        traceback.print_exc()
     finally:
         case.stop()
         case.world.close(status != 0)
     return status
 
 
-def main(case):
-    sys.exit(asyncio.run(run_limited(case)))
+def main(make_case):
+    status = 2
+    try:
+        status = asyncio.run(run_limited(make_case()))
+    except Exception:
+        traceback.print_exc()
+    sys.exit(status)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -464,7 +464,8 @@
 
 
 class World:
-    """A small deployment: control machines, entry machines, hosts, clients."""
+    """A small deployment: control machines, entry machines, hosts, clients. The
+    third octet of its addresses is above 0; routes have addresses with 0."""
 
     def __init__(self, record):
         self.record = open(record, "w", encoding="utf-8")
@@ -491,6 +492,8 @@
         raise RuntimeError("no free loopback addresses")
 
     def note(self, what):
+        if self.record.closed:
+            return
         self.record.write(f"{time.monotonic() - self.began:8.3f} s  {what}\n")
 
     def machine(self, name, role, zone, last):
