Move the replicated log to a library of its own

Change: the files agreement_* move to src/agreement with the namespace agreement; replica and boragestand-control use it instead of coordination. The settings of the fleet's control node name it replication. Ruled out: dropping the prefix of the file names, which would hide the moves.

--- a/src/coordination/agreement_core.cpp
+++ b/src/agreement/agreement_core.cpp
@@ -1,8 +1,8 @@
-#include "coordination/agreement_core.hpp"
+#include "agreement/agreement_core.hpp"
 
 #include <algorithm>
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 agreement_core::agreement_core(agreement_start start,
@@ -155,4 +155,4 @@
     return ordered;
 }
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/src/coordination/agreement_core.hpp
+++ b/src/agreement/agreement_core.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "coordination/agreement_events.hpp"
-#include "coordination/agreement_log.hpp"
+#include "agreement/agreement_events.hpp"
+#include "agreement/agreement_log.hpp"
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 /// State that all roles of a replica share: term, vote, log, commit index and
@@ -75,4 +75,4 @@
     agreement_effects effects_;
 };
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/src/coordination/agreement_election.cpp
+++ b/src/agreement/agreement_election.cpp
@@ -1,6 +1,6 @@
-#include "coordination/agreement_election.hpp"
+#include "agreement/agreement_election.hpp"
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 agreement_election::agreement_election(agreement_core& core, std::uint64_t seed)
@@ -108,4 +108,4 @@
     return granted && !request.pre_vote;
 }
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/src/coordination/agreement_election.hpp
+++ b/src/agreement/agreement_election.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "coordination/agreement_core.hpp"
+#include "agreement/agreement_core.hpp"
 
 #include <set>
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 /// Runs elections: the election timeout, the votes that this replica requests
@@ -59,4 +59,4 @@
     std::set<replica_id> refused_;
 };
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/src/coordination/agreement_events.hpp
+++ b/src/agreement/agreement_events.hpp
@@ -11,7 +11,7 @@
 #include <variant>
 #include <vector>
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 /// Disables individual safety rules of the algorithm. Only tests set these, to
@@ -241,4 +241,4 @@
 
 using agreement_effects = std::vector<agreement_effect>;
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/src/coordination/agreement_leader.cpp
+++ b/src/agreement/agreement_leader.cpp
@@ -1,10 +1,10 @@
-#include "coordination/agreement_leader.hpp"
+#include "agreement/agreement_leader.hpp"
 
-#include "coordination/agreement_membership.hpp"
+#include "agreement/agreement_membership.hpp"
 
 #include <algorithm>
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 agreement_leader::agreement_leader(agreement_core& core, time_point now)
@@ -364,4 +364,4 @@
     pending_reads_.clear();
 }
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/src/coordination/agreement_leader.hpp
+++ b/src/agreement/agreement_leader.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "coordination/agreement_core.hpp"
-#include "coordination/agreement_progress.hpp"
+#include "agreement/agreement_core.hpp"
+#include "agreement/agreement_progress.hpp"
 
 #include <deque>
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 /// Leader role of a replica: replication, commits, reads, membership changes
@@ -93,4 +93,4 @@
     std::optional<time_point> transfer_deadline_;
 };
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/src/coordination/agreement_log.cpp
+++ b/src/agreement/agreement_log.cpp
@@ -1,8 +1,8 @@
-#include "coordination/agreement_log.hpp"
+#include "agreement/agreement_log.hpp"
 
 #include <algorithm>
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 agreement_log::agreement_log(
@@ -124,4 +124,4 @@
     return changes_.empty() ? 0 : changes_.back().index;
 }
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/src/coordination/agreement_log.hpp
+++ b/src/agreement/agreement_log.hpp
@@ -8,7 +8,7 @@
 #include <optional>
 #include <vector>
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 /// The log of one replica in memory: the newest snapshot and all entries after
@@ -71,4 +71,4 @@
     std::vector<group_change> changes_;
 };
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/src/coordination/agreement_membership.cpp
+++ b/src/agreement/agreement_membership.cpp
@@ -1,8 +1,8 @@
-#include "coordination/agreement_membership.hpp"
+#include "agreement/agreement_membership.hpp"
 
 #include <algorithm>
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 namespace
@@ -149,4 +149,4 @@
     return group.voter_count() - lost >= smallest_group ? silent : std::nullopt;
 }
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/src/coordination/agreement_membership.hpp
+++ b/src/agreement/agreement_membership.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "coordination/agreement_events.hpp"
+#include "agreement/agreement_events.hpp"
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 /// The group after a change. leader is the replica that proposes it, index the
@@ -45,4 +45,4 @@
 member_to_remove(const protocol::replica_group& group,
                  const std::vector<member_silence>& silences, duration limit);
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/src/coordination/agreement_node.cpp
+++ b/src/agreement/agreement_node.cpp
@@ -1,6 +1,6 @@
-#include "coordination/agreement_node.hpp"
+#include "agreement/agreement_node.hpp"
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 std::string_view to_text(agreement_role role)
@@ -365,4 +365,4 @@
     core_.add_effect(role_changed{role, core_.term(), leader, reason});
 }
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/src/coordination/agreement_node.hpp
+++ b/src/agreement/agreement_node.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "coordination/agreement_core.hpp"
-#include "coordination/agreement_election.hpp"
-#include "coordination/agreement_leader.hpp"
-#include "coordination/agreement_receiver.hpp"
+#include "agreement/agreement_core.hpp"
+#include "agreement/agreement_election.hpp"
+#include "agreement/agreement_leader.hpp"
+#include "agreement/agreement_receiver.hpp"
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 /// One replica of the replicated log, in the manner of Raft with pre-vote,
@@ -117,4 +117,4 @@
     bool started_{false};
 };
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/src/coordination/agreement_progress.cpp
+++ b/src/agreement/agreement_progress.cpp
@@ -1,10 +1,10 @@
-#include "coordination/agreement_progress.hpp"
+#include "agreement/agreement_progress.hpp"
 
 #include <algorithm>
 #include <functional>
 #include <vector>
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 namespace
@@ -116,4 +116,4 @@
     return all;
 }
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/src/coordination/agreement_progress.hpp
+++ b/src/agreement/agreement_progress.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "coordination/agreement_events.hpp"
-#include "coordination/agreement_snapshots.hpp"
+#include "agreement/agreement_events.hpp"
+#include "agreement/agreement_snapshots.hpp"
 #include "protocol/protocol.hpp"
 
 #include <map>
 #include <optional>
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 /// Replication state of one other replica as known to the leader.
@@ -58,4 +58,4 @@
     std::map<replica_id, replica_progress> members_;
 };
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/src/coordination/agreement_receiver.cpp
+++ b/src/agreement/agreement_receiver.cpp
@@ -1,8 +1,8 @@
-#include "coordination/agreement_receiver.hpp"
+#include "agreement/agreement_receiver.hpp"
 
 #include <algorithm>
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 agreement_receiver::agreement_receiver(agreement_core& core) : core_(core) {}
@@ -87,4 +87,4 @@
     core_.install_snapshot(std::move(snapshot));
 }
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/src/coordination/agreement_receiver.hpp
+++ b/src/agreement/agreement_receiver.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "coordination/agreement_core.hpp"
-#include "coordination/agreement_snapshots.hpp"
+#include "agreement/agreement_core.hpp"
+#include "agreement/agreement_snapshots.hpp"
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 /// Receives entries and snapshots from the leader of the current term.
@@ -30,4 +30,4 @@
     snapshot_receiver incoming_snapshot_;
 };
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/src/coordination/agreement_snapshots.cpp
+++ b/src/agreement/agreement_snapshots.cpp
@@ -1,6 +1,6 @@
-#include "coordination/agreement_snapshots.hpp"
+#include "agreement/agreement_snapshots.hpp"
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 snapshot_sender::snapshot_sender(const protocol::agreement_snapshot& snapshot,
@@ -56,4 +56,4 @@
     return std::move(*snapshot);
 }
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/src/coordination/agreement_snapshots.hpp
+++ b/src/agreement/agreement_snapshots.hpp
@@ -5,7 +5,7 @@
 #include <memory>
 #include <optional>
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 /// Sends one snapshot to one follower, chunk by chunk. Keeps the snapshot that
@@ -51,4 +51,4 @@
     std::string bytes_;
 };
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/src/boragestand-control/http_api.cpp
+++ b/src/boragestand-control/http_api.cpp
@@ -30,13 +30,13 @@
                                                : std::nullopt;
 }
 
-std::string role_of(const coordination::agreement_node& node)
+std::string role_of(const agreement::agreement_node& node)
 {
-    if (node.role() == coordination::agreement_role::leader)
+    if (node.role() == agreement::agreement_role::leader)
     {
         return "leader";
     }
-    if (node.role() != coordination::agreement_role::follower)
+    if (node.role() != agreement::agreement_role::follower)
     {
         return "candidate";
     }
--- a/src/boragestand-control/replica_host.cpp
+++ b/src/boragestand-control/replica_host.cpp
@@ -10,7 +10,7 @@
                            const hooks& callbacks)
     : machine_(log, callbacks.configuration_changed)
     , runner_(std::move(disk), address, seed, {timers, peers, machine_, log},
-              coordination::agreement_settings{}, callbacks.failed)
+              agreement::agreement_settings{}, callbacks.failed)
 {
 }
 
--- a/src/boragestand-control/replica_host.hpp
+++ b/src/boragestand-control/replica_host.hpp
@@ -35,14 +35,14 @@
     {
         runner_.receive(envelope);
     }
-    void change(const coordination::membership_change& change,
+    void change(const agreement::membership_change& change,
                 index_callback callback)
     {
         runner_.change(change, std::move(callback));
     }
     void read(index_callback callback) { runner_.read(std::move(callback)); }
     void transfer_leadership() { runner_.transfer_leadership(); }
-    const coordination::agreement_node& node() const { return runner_.node(); }
+    const agreement::agreement_node& node() const { return runner_.node(); }
     bool is_leader() const { return runner_.is_leader(); }
     std::optional<transport::endpoint> leader_address() const
     {
--- a/src/coordination/coordination.hpp
+++ b/src/coordination/coordination.hpp
@@ -1,12 +1,9 @@
 #pragma once
 
-/// Public header of the coordination library: the decisions about agreement,
+/// Public header of the coordination library: the decisions about
 /// membership, ownership, placement and admission. All of them are pure: events
 /// with a time go in, effects come out.
 
-#include "coordination/agreement_events.hpp"
-#include "coordination/agreement_membership.hpp"
-#include "coordination/agreement_node.hpp"
 #include "coordination/directory_messages.hpp"
 #include "coordination/flow_events.hpp"
 #include "coordination/flow_router.hpp"
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -89,7 +89,7 @@
     , runner_(std::make_unique<replica::replica_runner>(
           std::move(disk), settings.address, random_number(),
           replica::replica_runner::parts{timers, peers_, machine_, log},
-          settings.agreement, [this](const error& cause) { stop_(cause); }))
+          settings.replication, [this](const error& cause) { stop_(cause); }))
     , members_(*runner_, peers_, log)
     , founding_(settings.address.address, settings.address,
                 {.founders = founders_of(settings.seeds),
@@ -522,7 +522,7 @@
     {
         return;
     }
-    const auto silent = coordination::member_to_remove(
+    const auto silent = agreement::member_to_remove(
         node.group(), node.silences(now), replaced_member_silence);
     if (!silent)
     {
@@ -537,7 +537,7 @@
     }
     removal_pending_ = true;
     log_.member_removed(silent->id, silent->silence);
-    runner_->change(coordination::remove_replica{silent->id},
+    runner_->change(agreement::remove_replica{silent->id},
                     [this](const result<std::uint64_t>& outcome)
                     {
                         removal_pending_ = false;
--- a/src/fleet/control_node.hpp
+++ b/src/fleet/control_node.hpp
@@ -27,7 +27,7 @@
     std::vector<transport::endpoint> seeds;
     bool may_found{false}; ///< a group, at the first start of the fleet
     coordination::registry_settings registry;
-    coordination::agreement_settings agreement;
+    agreement::agreement_settings replication;
 };
 
 /// A control instance of a fleet with automatic discovery. Replicates the plan,
--- a/src/fleet/fleet_log.hpp
+++ b/src/fleet/fleet_log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/coordination.hpp"
 #include "replica/replica_event_log.hpp"
 
 #include <optional>
--- a/src/replica/founding_status.hpp
+++ b/src/replica/founding_status.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/coordination.hpp"
+#include "agreement/agreement.hpp"
 
 #include <string>
 #include <string_view>
--- a/src/replica/member_service.cpp
+++ b/src/replica/member_service.cpp
@@ -104,7 +104,7 @@
 {
     if (const auto* member = member_of(request.instance))
     {
-        propose(coordination::remove_replica{member->id}, request.instance,
+        propose(agreement::remove_replica{member->id}, request.instance,
                 answer);
         return;
     }
@@ -190,12 +190,12 @@
                answer);
         return;
     }
-    propose(coordination::add_replica{joining, request.address,
-                                      replaced ? replaced->id : replica_id{}},
+    propose(agreement::add_replica{joining, request.address,
+                                   replaced ? replaced->id : replica_id{}},
             request.instance, answer);
 }
 
-void member_service::propose(const coordination::membership_change& change,
+void member_service::propose(const agreement::membership_change& change,
                              std::uint32_t instance, const exchange& answer)
 {
     runner_.change(change,
--- a/src/replica/member_service.hpp
+++ b/src/replica/member_service.hpp
@@ -36,7 +36,7 @@
     void admit(const member_request& request, const exchange& answer);
     void admit(const member_request& request, replica_id joining,
                const exchange& answer);
-    void propose(const coordination::membership_change& change,
+    void propose(const agreement::membership_change& change,
                  std::uint32_t instance, const exchange& answer);
     const protocol::replica* member_of(std::uint32_t instance) const;
     void succeed(std::uint32_t instance, std::uint64_t index,
--- a/src/replica/peer_link.cpp
+++ b/src/replica/peer_link.cpp
@@ -31,7 +31,7 @@
     return found;
 }
 
-void peer_link::send(const coordination::send_message& message)
+void peer_link::send(const agreement::send_message& message)
 {
     auto& target = peer_at(message.address);
     if (target.unanswered >= max_unanswered_messages)
--- a/src/replica/peer_link.hpp
+++ b/src/replica/peer_link.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/coordination.hpp"
+#include "agreement/agreement.hpp"
 #include "transport/transport.hpp"
 
 #include <map>
@@ -17,7 +17,7 @@
     peer_link(transport::main_loop& loop, transport::timer_service& timers);
 
     /// Sends an agreement message.
-    void send(const coordination::send_message& message);
+    void send(const agreement::send_message& message);
 
     /// Sends any request.
     void request(const transport::endpoint& address,
--- a/src/replica/replica_disk.cpp
+++ b/src/replica/replica_disk.cpp
@@ -74,7 +74,7 @@
         .and_then([this] { return read(); });
 }
 
-coordination::agreement_start
+agreement::agreement_start
 replica_disk::start(const transport::endpoint& address,
                     std::uint64_t seed) const
 {
@@ -82,13 +82,12 @@
 }
 
 result<void>
-replica_disk::carry_out(const coordination::persist_hard_state& effect)
+replica_disk::carry_out(const agreement::persist_hard_state& effect)
 {
     return hard_state_.save(effect.value);
 }
 
-result<void>
-replica_disk::carry_out(const coordination::persist_snapshot& effect)
+result<void> replica_disk::carry_out(const agreement::persist_snapshot& effect)
 {
     const auto last = effect.snapshot->last;
     return snapshots_.save(*effect.snapshot)
@@ -99,8 +98,7 @@
             });
 }
 
-result<void>
-replica_disk::carry_out(const coordination::persist_entries& effect)
+result<void> replica_disk::carry_out(const agreement::persist_entries& effect)
 {
     return log_->append(effect.entries);
 }
--- a/src/replica/replica_disk.hpp
+++ b/src/replica/replica_disk.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/coordination.hpp"
+#include "agreement/agreement.hpp"
 #include "state/state.hpp"
 
 #include <memory>
@@ -36,16 +36,16 @@
     result<void> save_founders(const protocol::replica_group& founders);
 
     /// Initial state for an agreement_node.
-    coordination::agreement_start start(const transport::endpoint& address,
-                                        std::uint64_t seed) const;
+    agreement::agreement_start start(const transport::endpoint& address,
+                                     std::uint64_t seed) const;
 
     /// Repairs made by the last open().
     const state::log_recovery& recovery() const { return recovery_; }
 
     /// Carries out effects that make something durable.
-    result<void> carry_out(const coordination::persist_hard_state& effect);
-    result<void> carry_out(const coordination::persist_snapshot& effect);
-    result<void> carry_out(const coordination::persist_entries& effect);
+    result<void> carry_out(const agreement::persist_hard_state& effect);
+    result<void> carry_out(const agreement::persist_snapshot& effect);
+    result<void> carry_out(const agreement::persist_entries& effect);
 
 private:
     explicit replica_disk(std::unique_ptr<state::file_disk> files);
--- a/src/replica/replica_event_log.cpp
+++ b/src/replica/replica_event_log.cpp
@@ -14,13 +14,13 @@
                });
 }
 
-void replica_event_log::role_changed(const coordination::role_changed& change)
+void replica_event_log::role_changed(const agreement::role_changed& change)
 {
     log_.write(log_level::info,
                [&]
                {
                    return log_line("role")
-                       .with("role", coordination::to_text(change.role))
+                       .with("role", agreement::to_text(change.role))
                        .with("term", change.term)
                        .with("leader", replica_text(change.leader))
                        .with("reason", change.reason);
--- a/src/replica/replica_event_log.hpp
+++ b/src/replica/replica_event_log.hpp
@@ -16,7 +16,7 @@
     explicit replica_event_log(settings::event_log& log) : log_(log) {}
 
     void founded(const protocol::replica_group& group) override;
-    void role_changed(const coordination::role_changed& change) override;
+    void role_changed(const agreement::role_changed& change) override;
     void group_changed(const protocol::log_entry& entry) override;
     void snapshot_stored(const protocol::agreement_snapshot& snapshot,
                          bool installed) override;
--- a/src/replica/replica_log.hpp
+++ b/src/replica/replica_log.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "coordination/coordination.hpp"
+#include "agreement/agreement.hpp"
 
 #include <string_view>
 
@@ -21,7 +21,7 @@
     virtual void founded(const protocol::replica_group& group) = 0;
 
     /// Role, term or known leader changed.
-    virtual void role_changed(const coordination::role_changed& change) = 0;
+    virtual void role_changed(const agreement::role_changed& change) = 0;
 
     /// A membership entry took effect.
     virtual void group_changed(const protocol::log_entry& entry) = 0;
--- a/src/replica/replica_runner.cpp
+++ b/src/replica/replica_runner.cpp
@@ -16,7 +16,7 @@
 replica_runner::replica_runner(std::unique_ptr<replica_disk> disk,
                                const transport::endpoint& address,
                                std::uint64_t seed, const parts& surroundings,
-                               const coordination::agreement_settings& settings,
+                               const agreement::agreement_settings& settings,
                                std::function<void(const error&)> failed)
     : disk_(std::move(disk))
     , address_(address)
@@ -37,12 +37,12 @@
     {
         return restored;
     }
-    node_ = std::make_unique<coordination::agreement_node>(std::move(start),
-                                                           settings_);
+    node_ = std::make_unique<agreement::agreement_node>(std::move(start),
+                                                        settings_);
     parts_.log.started(disk_->self(), disk_->recovery());
     ticks_ = parts_.timers.every(
         settings_.heartbeat_interval / ticks_per_heartbeat,
-        [this](time_point) { step(coordination::clock_tick{}); });
+        [this](time_point) { step(agreement::clock_tick{}); });
     return {};
 }
 
@@ -69,7 +69,7 @@
 
 bool replica_runner::is_leader() const
 {
-    return node_->role() == coordination::agreement_role::leader;
+    return node_->role() == agreement::agreement_role::leader;
 }
 
 std::optional<transport::endpoint> replica_runner::leader_address() const
@@ -80,29 +80,29 @@
 
 void replica_runner::receive(const protocol::agreement_envelope& envelope)
 {
-    step(coordination::message_received{envelope});
+    step(agreement::message_received{envelope});
 }
 
 void replica_runner::submit(std::string command, index_callback callback)
 {
     const auto token = next_token_++;
     command_callbacks_.emplace(token, std::move(callback));
-    step(coordination::proposal{token, std::move(command)});
+    step(agreement::proposal{token, std::move(command)});
 }
 
-void replica_runner::change(const coordination::membership_change& change,
+void replica_runner::change(const agreement::membership_change& change,
                             index_callback callback)
 {
     const auto token = next_token_++;
     deferred_callbacks_.emplace(token, std::move(callback));
-    step(coordination::membership_proposal{token, change});
+    step(agreement::membership_proposal{token, change});
 }
 
 void replica_runner::read(index_callback callback)
 {
     const auto token = next_token_++;
     deferred_callbacks_.emplace(token, std::move(callback));
-    step(coordination::read_request{token});
+    step(agreement::read_request{token});
 }
 
 void replica_runner::defer(std::function<void()> callback)
@@ -112,10 +112,10 @@
 
 void replica_runner::transfer_leadership()
 {
-    step(coordination::leadership_transfer_requested{});
+    step(agreement::leadership_transfer_requested{});
 }
 
-void replica_runner::step(decltype(coordination::agreement_event::input) input)
+void replica_runner::step(decltype(agreement::agreement_event::input) input)
 {
     if (failed_)
     {
@@ -124,7 +124,7 @@
     carry_out(node_->step({parts_.timers.now(), std::move(input)}));
     if (!failed_ && requested_snapshot_)
     {
-        const coordination::snapshot_taken taken{
+        const agreement::snapshot_taken taken{
             *std::exchange(requested_snapshot_, std::nullopt),
             parts_.machine.snapshot()};
         carry_out(node_->step({parts_.timers.now(), taken}));
@@ -132,7 +132,7 @@
     finish_step();
 }
 
-void replica_runner::carry_out(const coordination::agreement_effects& effects)
+void replica_runner::carry_out(const agreement::agreement_effects& effects)
 {
     for (const auto& effect : effects)
     {
@@ -160,35 +160,35 @@
     }
 }
 
-result<void> replica_runner::run(const coordination::persist_hard_state& effect)
+result<void> replica_runner::run(const agreement::persist_hard_state& effect)
 {
     return disk_->carry_out(effect);
 }
 
-result<void> replica_runner::run(const coordination::persist_snapshot& effect)
+result<void> replica_runner::run(const agreement::persist_snapshot& effect)
 {
     return disk_->carry_out(effect).map(
         [&]
         { parts_.log.snapshot_stored(*effect.snapshot, effect.installed); });
 }
 
-result<void> replica_runner::run(const coordination::persist_entries& effect)
+result<void> replica_runner::run(const agreement::persist_entries& effect)
 {
     return disk_->carry_out(effect);
 }
 
-result<void> replica_runner::run(const coordination::send_message& effect)
+result<void> replica_runner::run(const agreement::send_message& effect)
 {
     parts_.peers.send(effect);
     return {};
 }
 
-result<void> replica_runner::run(const coordination::restore_snapshot& effect)
+result<void> replica_runner::run(const agreement::restore_snapshot& effect)
 {
     return parts_.machine.restore(effect.snapshot->data);
 }
 
-result<void> replica_runner::run(const coordination::apply_entry& effect)
+result<void> replica_runner::run(const agreement::apply_entry& effect)
 {
     if (effect.entry.kind == protocol::entry_kind::membership)
     {
@@ -199,13 +199,13 @@
                : result<void>{};
 }
 
-result<void> replica_runner::run(const coordination::proposal_done& effect)
+result<void> replica_runner::run(const agreement::proposal_done& effect)
 {
     complete_request(effect.token, effect.index);
     return {};
 }
 
-result<void> replica_runner::run(const coordination::read_done& effect)
+result<void> replica_runner::run(const agreement::read_done& effect)
 {
     complete_request(effect.token, effect.index);
     return {};
@@ -226,19 +226,19 @@
     }
 }
 
-result<void> replica_runner::run(const coordination::snapshot_requested& effect)
+result<void> replica_runner::run(const agreement::snapshot_requested& effect)
 {
     requested_snapshot_ = effect.index;
     return {};
 }
 
-result<void> replica_runner::run(const coordination::role_changed& effect)
+result<void> replica_runner::run(const agreement::role_changed& effect)
 {
     parts_.log.role_changed(effect);
     return {};
 }
 
-result<void> replica_runner::run(const coordination::invariant_broken& effect)
+result<void> replica_runner::run(const agreement::invariant_broken& effect)
 {
     return failure(error_kind::internal, effect.what);
 }
--- a/src/replica/replica_runner.hpp
+++ b/src/replica/replica_runner.hpp
@@ -34,7 +34,7 @@
     replica_runner(std::unique_ptr<replica_disk> disk,
                    const transport::endpoint& address, std::uint64_t seed,
                    const parts& surroundings,
-                   const coordination::agreement_settings& settings,
+                   const agreement::agreement_settings& settings,
                    std::function<void(const error&)> failed);
 
     /// Restores the state machine from the disk and starts the replica.
@@ -53,7 +53,7 @@
     void submit(std::string command, index_callback callback);
 
     /// Changes the members of the group.
-    void change(const coordination::membership_change& change,
+    void change(const agreement::membership_change& change,
                 index_callback callback);
 
     /// Calls back once the state holds everything that was answered before.
@@ -65,7 +65,7 @@
     /// Transfers leadership to another voter if this instance leads.
     void transfer_leadership();
 
-    const coordination::agreement_node& node() const { return *node_; }
+    const agreement::agreement_node& node() const { return *node_; }
     bool is_leader() const;
 
     /// Address of the leader, if known.
@@ -78,19 +78,19 @@
     }
 
 private:
-    void step(decltype(coordination::agreement_event::input) input);
-    void carry_out(const coordination::agreement_effects& effects);
-    result<void> run(const coordination::persist_hard_state& effect);
-    result<void> run(const coordination::persist_snapshot& effect);
-    result<void> run(const coordination::persist_entries& effect);
-    result<void> run(const coordination::send_message& effect);
-    result<void> run(const coordination::restore_snapshot& effect);
-    result<void> run(const coordination::apply_entry& effect);
-    result<void> run(const coordination::proposal_done& effect);
-    result<void> run(const coordination::read_done& effect);
-    result<void> run(const coordination::snapshot_requested& effect);
-    result<void> run(const coordination::role_changed& effect);
-    result<void> run(const coordination::invariant_broken& effect);
+    void step(decltype(agreement::agreement_event::input) input);
+    void carry_out(const agreement::agreement_effects& effects);
+    result<void> run(const agreement::persist_hard_state& effect);
+    result<void> run(const agreement::persist_snapshot& effect);
+    result<void> run(const agreement::persist_entries& effect);
+    result<void> run(const agreement::send_message& effect);
+    result<void> run(const agreement::restore_snapshot& effect);
+    result<void> run(const agreement::apply_entry& effect);
+    result<void> run(const agreement::proposal_done& effect);
+    result<void> run(const agreement::read_done& effect);
+    result<void> run(const agreement::snapshot_requested& effect);
+    result<void> run(const agreement::role_changed& effect);
+    result<void> run(const agreement::invariant_broken& effect);
     void finish_step();
     void report_failure(const error& cause);
     void complete_request(std::uint64_t token,
@@ -100,9 +100,9 @@
     transport::endpoint address_;
     std::uint64_t seed_;
     parts parts_;
-    coordination::agreement_settings settings_;
+    agreement::agreement_settings settings_;
     std::function<void(const error&)> failure_callback_;
-    std::unique_ptr<coordination::agreement_node> node_;
+    std::unique_ptr<agreement::agreement_node> node_;
     transport::subscription ticks_;
 
     std::uint64_t next_token_{1};
--- a/tests/agreement/agreement_contract_test.cpp
+++ b/tests/agreement/agreement_contract_test.cpp
@@ -11,9 +11,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-coordination::agreement_settings small_settings()
+agreement::agreement_settings small_settings()
 {
-    coordination::agreement_settings settings;
+    agreement::agreement_settings settings;
     settings.snapshot_interval = 8;
     settings.chunk_size = 64;
     return settings;
@@ -62,14 +62,14 @@
 {
     group.at(3).lose_disk();
     const auto& joining = group.at(3);
-    group.change(1, coordination::add_replica{joining.identity(),
-                                              joining.address(),
-                                              joining.previous_identity()});
+    group.change(1,
+                 agreement::add_replica{joining.identity(), joining.address(),
+                                        joining.previous_identity()});
 }
 
 void remove_member(simulated_group& group)
 {
-    group.change(1, coordination::remove_replica{group.at(3).identity()});
+    group.change(1, agreement::remove_replica{group.at(3).identity()});
 }
 
 void snapshot_transfer(simulated_group& group)
@@ -196,7 +196,7 @@
 TEST(agreement_contract, caught_up_replicas_hold_all_earlier_answers)
 {
     // Without a snapshot that would hold the commands.
-    simulated_group group(11, coordination::agreement_settings{});
+    simulated_group group(11, agreement::agreement_settings{});
     lead_with_commands(group);
     for (const std::uint32_t instance : {1U, 2U, 3U})
     {
@@ -235,7 +235,7 @@
     lead_with_commands(group);
     group.spawn(4);
     group.spawn(5);
-    const auto kind_of = [&](coordination::membership_change change)
+    const auto kind_of = [&](agreement::membership_change change)
     {
         const auto token = group.change(1, change);
         group.run(seconds(1));
@@ -246,8 +246,8 @@
     {
         return group.at(instance).identity();
     };
-    using coordination::add_replica;
-    using coordination::remove_replica;
+    using agreement::add_replica;
+    using agreement::remove_replica;
 
     EXPECT_EQ(kind_of(remove_replica{id(1)}), error_kind::invalid_argument);
     EXPECT_EQ(kind_of(remove_replica{id(4)}), error_kind::not_found);
--- a/tests/agreement/member_removal_test.cpp
+++ b/tests/agreement/member_removal_test.cpp
@@ -1,8 +1,8 @@
-#include "coordination/coordination.hpp"
+#include "agreement/agreement.hpp"
 
 #include <gtest/gtest.h>
 
-namespace boragestand::coordination
+namespace boragestand::agreement
 {
 
 namespace
@@ -82,4 +82,4 @@
     EXPECT_EQ(node.role(), agreement_role::leader);
 }
 
-} // namespace boragestand::coordination
+} // namespace boragestand::agreement
--- a/tests/agreement/random_schedule.cpp
+++ b/tests/agreement/random_schedule.cpp
@@ -27,10 +27,9 @@
                            milliseconds(1), milliseconds(40)});
 }
 
-coordination::agreement_settings
-random_schedule::settings_for(std::uint64_t seed)
+agreement::agreement_settings random_schedule::settings_for(std::uint64_t seed)
 {
-    coordination::agreement_settings settings;
+    agreement::agreement_settings settings;
     settings.snapshot_interval = seed % 2 == 0 ? 6 : 25;
     settings.chunk_size = 100;
     settings.max_append_entries = 1 + seed % 3;
@@ -164,9 +163,9 @@
     }
     const auto& joining = group_.at(lost_disk_instance_);
     record_step("admit " + std::to_string(lost_disk_instance_));
-    group_.change(leader->instance(), coordination::add_replica{
-                                          joining.identity(), joining.address(),
-                                          joining.previous_identity()});
+    group_.change(leader->instance(),
+                  agreement::add_replica{joining.identity(), joining.address(),
+                                         joining.previous_identity()});
 }
 
 void random_schedule::add_spare()
@@ -180,7 +179,7 @@
     record_step("add spare");
     group_.change(
         leader->instance(),
-        coordination::add_replica{spare.identity(), spare.address(), {}});
+        agreement::add_replica{spare.identity(), spare.address(), {}});
 }
 
 void random_schedule::remove(std::uint32_t instance)
@@ -193,7 +192,7 @@
     }
     record_step("remove " + std::to_string(instance));
     group_.change(leader->instance(),
-                  coordination::remove_replica{group_.at(instance).identity()});
+                  agreement::remove_replica{group_.at(instance).identity()});
 }
 
 } // namespace boragestand::testing
--- a/tests/agreement/random_schedule.hpp
+++ b/tests/agreement/random_schedule.hpp
@@ -27,7 +27,7 @@
     bool all_disks_replaced() const;
     void record_step(const std::string& step);
 
-    static coordination::agreement_settings settings_for(std::uint64_t seed);
+    static agreement::agreement_settings settings_for(std::uint64_t seed);
 
     random_generator random_;
     simulated_group group_;
--- a/tests/agreement/scenario.cpp
+++ b/tests/agreement/scenario.cpp
@@ -41,7 +41,7 @@
 }
 
 std::string scenario::run(std::uint64_t seed,
-                          const coordination::agreement_faults& faults) const
+                          const agreement::agreement_faults& faults) const
 {
     scenario_run run(seed, faults);
     for (const auto& step : steps_)
@@ -64,9 +64,9 @@
     return {};
 }
 
-coordination::agreement_faults without_guard(const std::string& name)
+agreement::agreement_faults without_guard(const std::string& name)
 {
-    coordination::agreement_faults faults;
+    agreement::agreement_faults faults;
     const std::map<std::string, bool*> flags{
         {"pre-vote", &faults.skip_pre_vote},
         {"check-quorum", &faults.skip_check_quorum},
--- a/tests/agreement/scenario.hpp
+++ b/tests/agreement/scenario.hpp
@@ -47,7 +47,7 @@
     /// Runs all steps with a seed. Empty on success, else the line and what was
     /// wrong.
     std::string run(std::uint64_t seed,
-                    const coordination::agreement_faults& faults) const;
+                    const agreement::agreement_faults& faults) const;
 
     /// Guards without which the scenario fails.
     const std::vector<std::string>& needed_guards() const { return guards_; }
@@ -59,6 +59,6 @@
 
 /// The faults that switch one guard off: pre-vote, check-quorum,
 /// sync-before-answer, learner-rule, one-change, own-term-commit.
-coordination::agreement_faults without_guard(const std::string& name);
+agreement::agreement_faults without_guard(const std::string& name);
 
 } // namespace boragestand::testing
--- a/tests/agreement/scenario_run.cpp
+++ b/tests/agreement/scenario_run.cpp
@@ -44,7 +44,7 @@
 } // namespace
 
 scenario_run::scenario_run(std::uint64_t seed,
-                           const coordination::agreement_faults& faults)
+                           const agreement::agreement_faults& faults)
     : seed_(seed)
 {
     settings_.faults = faults;
@@ -231,7 +231,7 @@
     if (name == "admit" || name == "add")
     {
         const auto& joining = replica(words.at(1));
-        const coordination::add_replica change{
+        const agreement::add_replica change{
             joining.identity(), joining.address(),
             name == "admit" ? joining.previous_identity() : replica_id{}};
         store_token(name + words.at(1),
@@ -241,9 +241,9 @@
     if (name == "remove")
     {
         const auto id = replica(words.at(1)).identity();
-        store_token(name + words.at(1),
-                    group().change(instance("leader"),
-                                   coordination::remove_replica{id}));
+        store_token(
+            name + words.at(1),
+            group().change(instance("leader"), agreement::remove_replica{id}));
         return {};
     }
     return unknown_step;
--- a/tests/agreement/scenario_run.hpp
+++ b/tests/agreement/scenario_run.hpp
@@ -11,8 +11,7 @@
 class scenario_run
 {
 public:
-    scenario_run(std::uint64_t seed,
-                 const coordination::agreement_faults& faults);
+    scenario_run(std::uint64_t seed, const agreement::agreement_faults& faults);
 
     /// Carries out one step. Empty on success, else what was wrong.
     std::string execute(const std::vector<std::string>& words);
@@ -39,7 +38,7 @@
     simulated_group& group();
 
     std::uint64_t seed_;
-    coordination::agreement_settings settings_;
+    agreement::agreement_settings settings_;
     network_conditions conditions_;
     std::unique_ptr<simulated_group> group_;
     std::map<std::string, std::uint64_t> tokens_;
--- a/tests/agreement/simulated_group.cpp
+++ b/tests/agreement/simulated_group.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 simulated_group::simulated_group(std::uint64_t seed,
-                                 coordination::agreement_settings settings)
+                                 agreement::agreement_settings settings)
     : random_(seed), settings_(settings)
 {
 }
@@ -117,13 +117,13 @@
     {
         if (!replica->frozen())
         {
-            replica->step({now_, coordination::clock_tick{}});
+            replica->step({now_, agreement::clock_tick{}});
         }
     }
 }
 
 // Passes through the codec, as between processes.
-void simulated_group::deliver(const coordination::send_message& message)
+void simulated_group::deliver(const agreement::send_message& message)
 {
     const auto receiver = replicas_.find(message.address.address);
     const auto decoded = protocol::decode_agreement_message(
@@ -135,8 +135,7 @@
     }
     if (receiver != replicas_.end())
     {
-        receiver->second->step(
-            {now_, coordination::message_received{*decoded}});
+        receiver->second->step({now_, agreement::message_received{*decoded}});
     }
 }
 
@@ -157,28 +156,28 @@
 {
     const auto token = next_token_++;
     proposed_[token] = command;
-    at(instance).step({now_, coordination::proposal{token, command}});
+    at(instance).step({now_, agreement::proposal{token, command}});
     return token;
 }
 
 std::uint64_t simulated_group::change(std::uint32_t instance,
-                                      coordination::membership_change change)
+                                      agreement::membership_change change)
 {
     const auto token = next_token_++;
-    at(instance).step({now_, coordination::membership_proposal{token, change}});
+    at(instance).step({now_, agreement::membership_proposal{token, change}});
     return token;
 }
 
 std::uint64_t simulated_group::read(std::uint32_t instance)
 {
     const auto token = next_token_++;
-    at(instance).step({now_, coordination::read_request{token}});
+    at(instance).step({now_, agreement::read_request{token}});
     return token;
 }
 
 void simulated_group::hand_over(std::uint32_t instance)
 {
-    at(instance).step({now_, coordination::leadership_transfer_requested{}});
+    at(instance).step({now_, agreement::leadership_transfer_requested{}});
 }
 
 bool simulated_group::elect(std::uint32_t instance, duration limit)
@@ -196,7 +195,7 @@
                 {},
                 node->term(),
                 protocol::leadership_transfer{}};
-            replica.step({now_, coordination::message_received{envelope}});
+            replica.step({now_, agreement::message_received{envelope}});
         }
         if (run(pause, [&replica] { return replica.leads(); }))
         {
@@ -234,7 +233,7 @@
 }
 
 void simulated_group::sent(std::uint32_t from,
-                           const coordination::send_message& message)
+                           const agreement::send_message& message)
 {
     const auto copies = random_.fraction() < conditions_.duplication ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy)
--- a/tests/agreement/simulated_group.hpp
+++ b/tests/agreement/simulated_group.hpp
@@ -23,8 +23,7 @@
 class simulated_group : private replica_observer
 {
 public:
-    simulated_group(std::uint64_t seed,
-                    coordination::agreement_settings settings);
+    simulated_group(std::uint64_t seed, agreement::agreement_settings settings);
     ~simulated_group() override;
 
     /// Creates and starts the founding members.
@@ -40,7 +39,7 @@
     /// Submits a command; the token names the answer.
     std::uint64_t propose(std::uint32_t instance, const std::string& command);
     std::uint64_t change(std::uint32_t instance,
-                         coordination::membership_change change);
+                         agreement::membership_change change);
     std::uint64_t read(std::uint32_t instance);
     void hand_over(std::uint32_t instance);
     void freeze(std::uint32_t instance) { at(instance).freeze(); }
@@ -97,7 +96,7 @@
 
 private:
     void sent(std::uint32_t from,
-              const coordination::send_message& message) override;
+              const agreement::send_message& message) override;
     void applied(std::uint32_t instance, const protocol::log_entry& entry,
                  const std::string& state) override;
     void restored(std::uint32_t instance,
@@ -110,21 +109,21 @@
 
     std::unique_ptr<simulated_replica> make_replica(std::uint32_t instance);
     void report_violation(const std::string& what);
-    void deliver(const coordination::send_message& message);
+    void deliver(const agreement::send_message& message);
     bool is_settled(const std::string& marker);
     bool connected(std::uint32_t from, std::uint32_t to) const;
     void tick_all();
     void check_promotion(const protocol::log_entry& entry);
-    void schedule(const coordination::send_message& message);
+    void schedule(const agreement::send_message& message);
 
     struct packet
     {
         std::uint32_t from;
-        coordination::send_message message;
+        agreement::send_message message;
     };
 
     random_generator random_;
-    coordination::agreement_settings settings_;
+    agreement::agreement_settings settings_;
     network_conditions conditions_;
     time_point now_{std::chrono::seconds(1)};
     time_point next_tick_{now_};
--- a/tests/agreement/simulated_replica.cpp
+++ b/tests/agreement/simulated_replica.cpp
@@ -21,7 +21,7 @@
 } // namespace
 
 simulated_replica::simulated_replica(std::uint32_t instance, std::uint64_t seed,
-                                     coordination::agreement_settings settings,
+                                     agreement::agreement_settings settings,
                                      replica_observer& observer)
     : instance_(instance)
     , seed_(seed)
@@ -81,9 +81,9 @@
         entries_.emplace(entry.index, entry);
     }
     restore(*snapshot ? (*snapshot)->data : std::string());
-    node_ = std::make_unique<coordination::agreement_node>(
-        coordination::agreement_start{hard_state_->current(), *snapshot,
-                                      recovery.entries, address(), ++seed_},
+    node_ = std::make_unique<agreement::agreement_node>(
+        agreement::agreement_start{hard_state_->current(), *snapshot,
+                                   recovery.entries, address(), ++seed_},
         settings_);
 }
 
@@ -121,7 +121,7 @@
     }
 }
 
-void simulated_replica::step(const coordination::agreement_event& event)
+void simulated_replica::step(const agreement::agreement_event& event)
 {
     if (!running())
     {
@@ -142,8 +142,8 @@
     }
 }
 
-void simulated_replica::carry_out(
-    const coordination::agreement_effects& effects, time_point now)
+void simulated_replica::carry_out(const agreement::agreement_effects& effects,
+                                  time_point now)
 {
     for (const auto& effect : effects)
     {
@@ -153,16 +153,15 @@
     {
         const auto index = *requested_snapshot_;
         requested_snapshot_.reset();
-        carry_out(
-            node_->step(
-                {now, coordination::snapshot_taken{index, encoded_state()}}),
-            now);
+        carry_out(node_->step(
+                      {now, agreement::snapshot_taken{index, encoded_state()}}),
+                  now);
     }
 }
 
 bool simulated_replica::leads() const
 {
-    return running() && node_->role() == coordination::agreement_role::leader;
+    return running() && node_->role() == agreement::agreement_role::leader;
 }
 
 bool simulated_replica::holds(const std::string& command) const
@@ -170,12 +169,12 @@
     return known_commands_.contains(command);
 }
 
-void simulated_replica::run(const coordination::persist_hard_state& effect)
+void simulated_replica::run(const agreement::persist_hard_state& effect)
 {
     throw_on_error(hard_state_->save(effect.value));
 }
 
-void simulated_replica::run(const coordination::persist_snapshot& effect)
+void simulated_replica::run(const agreement::persist_snapshot& effect)
 {
     const auto last = effect.snapshot->last;
     throw_on_error(snapshots_->save(*effect.snapshot));
@@ -188,7 +187,7 @@
     entries_.erase(entries_.begin(), entries_.upper_bound(last.index));
 }
 
-void simulated_replica::run(const coordination::persist_entries& effect)
+void simulated_replica::run(const agreement::persist_entries& effect)
 {
     throw_on_error(log_->append(effect.entries));
     entries_.erase(entries_.lower_bound(effect.entries.front().index),
@@ -199,18 +198,18 @@
     }
 }
 
-void simulated_replica::run(const coordination::send_message& effect)
+void simulated_replica::run(const agreement::send_message& effect)
 {
     observer_.sent(instance_, effect);
 }
 
-void simulated_replica::run(const coordination::restore_snapshot& effect)
+void simulated_replica::run(const agreement::restore_snapshot& effect)
 {
     restore(effect.snapshot->data);
     observer_.restored(instance_, *effect.snapshot);
 }
 
-void simulated_replica::run(const coordination::apply_entry& effect)
+void simulated_replica::run(const agreement::apply_entry& effect)
 {
     const auto& entry = effect.entry;
     if (entry.kind == protocol::entry_kind::command &&
@@ -221,30 +220,30 @@
     observer_.applied(instance_, entry, encoded_state());
 }
 
-void simulated_replica::run(const coordination::proposal_done& effect)
+void simulated_replica::run(const agreement::proposal_done& effect)
 {
     observer_.answered(effect.token, effect.index);
 }
 
-void simulated_replica::run(const coordination::read_done& effect)
+void simulated_replica::run(const agreement::read_done& effect)
 {
     observer_.answered(effect.token, effect.index);
 }
 
-void simulated_replica::run(const coordination::snapshot_requested& effect)
+void simulated_replica::run(const agreement::snapshot_requested& effect)
 {
     requested_snapshot_ = effect.index;
 }
 
-void simulated_replica::run(const coordination::role_changed& effect)
+void simulated_replica::run(const agreement::role_changed& effect)
 {
-    if (effect.role == coordination::agreement_role::leader)
+    if (effect.role == agreement::agreement_role::leader)
     {
         observer_.became_leader(instance_, effect.term);
     }
 }
 
-void simulated_replica::run(const coordination::invariant_broken& effect)
+void simulated_replica::run(const agreement::invariant_broken& effect)
 {
     observer_.invariant_broken(instance_, effect.what);
 }
--- a/tests/agreement/simulated_replica.hpp
+++ b/tests/agreement/simulated_replica.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "../support/crash_disk.hpp"
-#include "coordination/agreement_node.hpp"
+#include "agreement/agreement_node.hpp"
 
 #include <deque>
 #include <functional>
@@ -21,7 +21,7 @@
 public:
     virtual ~replica_observer() = default;
     virtual void sent(std::uint32_t from,
-                      const coordination::send_message& message) = 0;
+                      const agreement::send_message& message) = 0;
     virtual void applied(std::uint32_t instance,
                          const protocol::log_entry& entry,
                          const std::string& state) = 0;
@@ -41,7 +41,7 @@
 {
 public:
     simulated_replica(std::uint32_t instance, std::uint64_t seed,
-                      coordination::agreement_settings settings,
+                      agreement::agreement_settings settings,
                       replica_observer& observer);
 
     /// Gives the empty disk its identity; a founding member gets the group.
@@ -57,7 +57,7 @@
     void lose_disk();
 
     /// Processes an event; a frozen replica keeps messages for later.
-    void step(const coordination::agreement_event& event);
+    void step(const agreement::agreement_event& event);
 
     void freeze() { frozen_ = true; }
     void thaw(time_point now);
@@ -68,7 +68,7 @@
     replica_id previous_identity() const { return previous_identity_; }
     std::uint32_t instance() const { return instance_; }
     transport::endpoint address() const { return {instance_, 1}; }
-    const coordination::agreement_node* node() const { return node_.get(); }
+    const agreement::agreement_node* node() const { return node_.get(); }
     bool leads() const;
     crash_disk& disk() { return disk_; }
 
@@ -84,26 +84,25 @@
 
 private:
     void recover();
-    void carry_out(const coordination::agreement_effects& effects,
-                   time_point now);
-    void run(const coordination::persist_hard_state& effect);
-    void run(const coordination::persist_snapshot& effect);
-    void run(const coordination::persist_entries& effect);
-    void run(const coordination::send_message& effect);
-    void run(const coordination::restore_snapshot& effect);
-    void run(const coordination::apply_entry& effect);
-    void run(const coordination::proposal_done& effect);
-    void run(const coordination::read_done& effect);
-    void run(const coordination::snapshot_requested& effect);
-    void run(const coordination::role_changed& effect);
-    void run(const coordination::invariant_broken& effect);
+    void carry_out(const agreement::agreement_effects& effects, time_point now);
+    void run(const agreement::persist_hard_state& effect);
+    void run(const agreement::persist_snapshot& effect);
+    void run(const agreement::persist_entries& effect);
+    void run(const agreement::send_message& effect);
+    void run(const agreement::restore_snapshot& effect);
+    void run(const agreement::apply_entry& effect);
+    void run(const agreement::proposal_done& effect);
+    void run(const agreement::read_done& effect);
+    void run(const agreement::snapshot_requested& effect);
+    void run(const agreement::role_changed& effect);
+    void run(const agreement::invariant_broken& effect);
     void restore(const std::string& data);
     std::string encoded_state() const;
 
     std::uint32_t instance_;
     std::uint64_t seed_;
     std::uint32_t generation_{0};
-    coordination::agreement_settings settings_;
+    agreement::agreement_settings settings_;
     replica_observer& observer_;
     crash_disk disk_;
     replica_id identity_;
@@ -111,12 +110,12 @@
     std::unique_ptr<state::hard_state_store> hard_state_;
     std::unique_ptr<state::snapshot_store> snapshots_;
     std::optional<state::durable_log> log_;
-    std::unique_ptr<coordination::agreement_node> node_;
+    std::unique_ptr<agreement::agreement_node> node_;
     std::map<std::uint64_t, protocol::log_entry> entries_;
     std::vector<std::string> commands_;
     std::set<std::string> known_commands_;
     std::optional<std::uint64_t> requested_snapshot_;
-    std::deque<coordination::agreement_event> queued_events_;
+    std::deque<agreement::agreement_event> queued_events_;
     bool frozen_{false};
 };
 
--- a/tests/fleet/fleet_group.cpp
+++ b/tests/fleet/fleet_group.cpp
@@ -74,7 +74,8 @@
     settings.seeds = seeds();
     settings.may_found = first_start;
     settings.registry.lease = lease;
-    settings.agreement.first_election_timeout = std::chrono::milliseconds(150);
+    settings.replication.first_election_timeout =
+        std::chrono::milliseconds(150);
     auto node = control_node::open(loop_, timers_, settings, log_,
                                    [](const std::optional<error>&) {});
     ASSERT_TRUE(node) << node.error().message;
