Add the settings and messages of the new parts

Cause: evacuation, slow start, joined load and admission are built side by side and need one set of interfaces.

Change: settings memory_mb, disk_mb, data_centres, features, warmup_overrun, warmup_slack and standing_agreement, filled in by the deployment's template; rate and time of cold upstreams in plans; evacuations, grants and load in directory messages; acknowledged sequence and size of packets.

--- a/src/coordination/directory_messages.cpp
+++ b/src/coordination/directory_messages.cpp
@@ -31,16 +31,42 @@
     }
 };
 
+template <>
+struct fields_of<evacuation_notice>
+{
+    static auto tie(auto& value)
+    {
+        return std::tie(value.data_centre, value.active, value.index,
+                        value.ended_ms);
+    }
+};
+
+template <>
+struct fields_of<warmup_grant>
+{
+    static auto tie(auto& value)
+    {
+        return std::tie(value.upstream, value.incarnation,
+                        value.requests_per_1000_s, value.burst,
+                        value.lifetime_ms);
+    }
+};
+
 template <>
 struct fields_of<directory_request>
 {
     static auto tie(auto& value)
     {
         return std::tie(value.from_replica, value.sender, value.epoch,
-                        value.cursor, value.plan_version, value.wants_current);
+                        value.cursor, value.plan_version, value.wants_current,
+                        value.load);
     }
 };
 
+template <>
+inline constexpr auto
+    required_fields<directory_request> = std::optional<std::size_t>(6);
+
 template <>
 struct fields_of<directory_reply>
 {
@@ -48,10 +74,15 @@
     {
         return std::tie(value.epoch, value.cursor, value.current,
                         value.plan_version, value.upstreams, value.refreshes,
-                        value.plan, value.controls, value.has_more);
+                        value.plan, value.controls, value.has_more,
+                        value.evacuations, value.grants, value.load);
     }
 };
 
+template <>
+inline constexpr auto
+    required_fields<directory_reply> = std::optional<std::size_t>(9);
+
 } // namespace boragestand::state::codec
 
 namespace boragestand::coordination
--- a/src/coordination/directory_messages.hpp
+++ b/src/coordination/directory_messages.hpp
@@ -9,6 +9,31 @@
 namespace boragestand::coordination
 {
 
+/// A data centre that is evacuated, or whose evacuation ended a short time ago.
+struct evacuation_notice
+{
+    std::string data_centre;
+    bool active{true};         ///< false: ended
+    std::uint64_t index{0};    ///< log index of the newest order
+    std::uint32_t ended_ms{0}; ///< time since the end, if not active
+
+    auto operator<=>(const evacuation_notice&) const = default;
+};
+
+/// Permission of one entry instance to send new requests to a cold upstream.
+/// Valid from its receipt for lifetime_ms and replaced by a later one for the
+/// same upstream.
+struct warmup_grant
+{
+    std::uint64_t upstream{0};
+    std::uint64_t incarnation{0};
+    std::uint32_t requests_per_1000_s{0}; ///< rate
+    std::uint32_t burst{0};               ///< requests at once
+    std::uint32_t lifetime_ms{0};
+
+    auto operator<=>(const warmup_grant&) const = default;
+};
+
 /// Requests the changes since the last reply of a control instance. The cursor
 /// also acknowledges that reply.
 struct directory_request
@@ -20,6 +45,9 @@
     std::uint64_t plan_version{0}; ///< version that the sender holds
     /// The last reply was not current; a current one should be sent at once.
     bool wants_current{false};
+    /// Load and health of upstreams as seen by the sender, encoded by
+    /// load_evidence; empty if it has none.
+    std::string load;
 
     auto operator<=>(const directory_request&) const = default;
 };
@@ -41,6 +69,11 @@
     std::vector<transport::endpoint> controls; ///< members of the group
     /// Further records follow; the next request's cursor continues after these.
     bool has_more{false};
+    std::vector<evacuation_notice> evacuations; ///< all of them, each time
+    std::vector<warmup_grant> grants;           ///< only for entry instances
+    /// Load and health of upstreams as joined by the sender, encoded by
+    /// load_evidence; empty if it has none.
+    std::string load;
 
     auto operator<=>(const directory_reply&) const = default;
 };
--- a/src/settings/fleet_settings.cpp
+++ b/src/settings/fleet_settings.cpp
@@ -3,8 +3,10 @@
 #include "settings/settings_reader.hpp"
 #include "settings/yaml_writer.hpp"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 
 namespace boragestand::settings
 {
@@ -25,33 +27,70 @@
 }
 
 constexpr double max_link_mbps = 1e6;
+constexpr double max_megabytes = 1e6;
+constexpr double max_warmup_value = 1000;
 
-std::optional<double> parse_link_rate(std::string_view text)
+// Empty text counts as 0.
+std::optional<double> parse_decimal(std::string_view text, double max)
 {
     double value = 0;
     const auto* const last = text.data() + text.size();
     const auto [end, fault] = std::from_chars(text.data(), last, value);
     const bool valid = text.empty() || (fault == std::errc{} && end == last &&
-                                        value >= 0 && value <= max_link_mbps);
+                                        value >= 0 && value <= max);
     return valid ? std::optional(value) : std::nullopt;
 }
 
 std::optional<std::string> check_link_rate(std::string_view text)
 {
-    return parse_link_rate(text)
+    return parse_decimal(text, max_link_mbps)
                ? std::nullopt
                : std::optional<std::string>("a rate from 0 to 1000000 Mbit/s");
 }
 
-void read_link_rate(mapping_reader& root, fleet_settings& settings)
+std::optional<std::string> check_megabytes(std::string_view text)
+{
+    return parse_decimal(text, max_megabytes)
+               ? std::nullopt
+               : std::optional<std::string>("a size from 0 to 1000000 MB");
+}
+
+std::optional<std::string> check_warmup_value(std::string_view text)
+{
+    return parse_decimal(text, max_warmup_value)
+               ? std::nullopt
+               : std::optional<std::string>("a number from 0 to 1000");
+}
+
+// Settings templates leave a value empty where there is none; the default
+// stays then.
+void read_decimal(mapping_reader& root, std::string_view key,
+                  document::text_check check, double& target)
 {
     std::string text;
-    if (root.read_text("link_mbps", presence::optional, check_link_rate, text))
+    if (root.read_text(key, presence::optional, check, text) && !text.empty())
     {
-        settings.link_mbps = parse_link_rate(text).value_or(0);
+        // check has bounded the value.
+        target = parse_decimal(text, std::numeric_limits<double>::max())
+                     .value_or(target);
     }
 }
 
+void read_texts(mapping_reader& root, std::string_view key,
+                std::vector<std::string>& target)
+{
+    root.read_list(key, presence::optional,
+                   [&](const YAML::Node& node, const std::string& path)
+                   {
+                       if (!node.IsScalar() || node.Scalar().empty())
+                       {
+                           root.add_fault(key, path + ": expected a name");
+                           return;
+                       }
+                       target.push_back(node.Scalar());
+                   });
+}
+
 void read_addresses(mapping_reader& root, fleet_settings& settings)
 {
     auto reader = root.read_mapping("addresses", presence::required);
@@ -141,7 +180,17 @@
                    document::check_any_text, settings.data_directory);
     root.read_integer("heartbeat_ms", presence::optional, heartbeat_range,
                       settings.heartbeat_ms);
-    read_link_rate(root, settings);
+    read_decimal(root, "link_mbps", check_link_rate, settings.link_mbps);
+    read_decimal(root, "memory_mb", check_megabytes, settings.memory_mb);
+    read_decimal(root, "disk_mb", check_megabytes, settings.disk_mb);
+    read_texts(root, "data_centres", settings.data_centres);
+    read_texts(root, "features", settings.features);
+    read_decimal(root, "warmup_overrun", check_warmup_value,
+                 settings.warmup_overrun);
+    read_decimal(root, "warmup_slack", check_warmup_value,
+                 settings.warmup_slack);
+    root.read_flag("standing_agreement", presence::optional,
+                   settings.standing_agreement);
     read_log(root, settings.log);
     root.finish();
     return settings;
@@ -149,6 +198,11 @@
 
 } // namespace
 
+bool fleet_settings::has_feature(std::string_view name) const
+{
+    return std::find(features.begin(), features.end(), name) != features.end();
+}
+
 document::checked<fleet_settings> read_fleet_settings(std::string_view yaml)
 {
     fault_list faults;
@@ -195,6 +249,13 @@
         .pair("data_directory", settings.data_directory)
         .pair("heartbeat_ms", settings.heartbeat_ms)
         .pair("link_mbps", to_text(settings.link_mbps))
+        .pair("memory_mb", to_text(settings.memory_mb))
+        .pair("disk_mb", to_text(settings.disk_mb))
+        .texts("data_centres", settings.data_centres)
+        .texts("features", settings.features)
+        .pair("warmup_overrun", to_text(settings.warmup_overrun))
+        .pair("warmup_slack", to_text(settings.warmup_slack))
+        .flag("standing_agreement", settings.standing_agreement)
         .mapping("log", [&] { write(writer, settings.log); });
     return writer.text();
 }
--- a/src/settings/fleet_settings.hpp
+++ b/src/settings/fleet_settings.hpp
@@ -37,11 +37,40 @@
     std::uint32_t heartbeat_ms{1200};
     /// Rate of the link of an entry instance in Mbit/s; 0: not limited.
     double link_mbps{0};
+    /// Limits of the machine in MB; 0: not known.
+    double memory_mb{0};
+    double disk_mb{0};
+    /// All data centres of the deployment; empty if they are not known.
+    std::vector<std::string> data_centres;
+    /// Optional parts that the deployment asks for; unknown ones are ignored.
+    std::vector<std::string> features;
+    /// A cold upstream may get up to warmup_overrun times its rate plus
+    /// warmup_slack new requests in any second.
+    double warmup_overrun{1.0};
+    double warmup_slack{0.0};
+    /// A director has agreed once and for all that callers may be refused for
+    /// whom there is no room.
+    bool standing_agreement{false};
     log_settings log;
 
     auto operator<=>(const fleet_settings&) const = default;
+
+    bool has_feature(std::string_view name) const;
 };
 
+/// Features of fleet_settings.
+namespace feature
+{
+
+/// Upstreams may be slow or fail although they are healthy by their own word:
+/// load and failures are joined over all entry instances.
+constexpr std::string_view joined_health = "health";
+
+/// Data centres may be evacuated and cold upstreams have a pace.
+constexpr std::string_view places = "places";
+
+} // namespace feature
+
 /// Parses and validates settings; reports all faults at once. Never throws.
 document::checked<fleet_settings> read_fleet_settings(std::string_view yaml);
 
--- a/src/state/msgpack_codec.hpp
+++ b/src/state/msgpack_codec.hpp
@@ -37,6 +37,12 @@
 template <typename Enumeration>
 constexpr std::optional<Enumeration> fallback_enumerator = std::nullopt;
 
+/// Specialised for a type that later versions have extended: the number of
+/// leading fields that an encoded value must have. Missing ones keep their
+/// defaults, so that data of an earlier version can still be read.
+template <typename Type>
+constexpr std::optional<std::size_t> required_fields = std::nullopt;
+
 /// Nesting depth of the deepest encoded type, plus a margin.
 constexpr std::size_t max_depth = 16;
 
@@ -297,13 +303,16 @@
 {
     auto fields = fields_of<Value>::tie(value);
     const auto items = items_of(object);
-    if (items.size() != std::tuple_size_v<decltype(fields)>)
+    constexpr std::size_t all = std::tuple_size_v<decltype(fields)>;
+    if (items.size() > all ||
+        items.size() < required_fields<Value>.value_or(all))
     {
         return false;
     }
-    const msgpack::object* next = items.data();
-    return std::apply([&next](auto&... each)
-                      { return (read(*next++, each) && ...); },
+    const auto* next = items.data();
+    const auto* const end = next + items.size();
+    return std::apply([&next, end](auto&... each)
+                      { return ((next == end || read(*next++, each)) && ...); },
                       fields);
 }
 
--- a/src/state/routing_plan.hpp
+++ b/src/state/routing_plan.hpp
@@ -54,6 +54,11 @@
     std::string name;
     std::string health_path;
     std::uint32_t max_connections{0}; ///< flows of one upstream; 0: unknown
+    /// How long an upstream is cold after its start; 0: not known.
+    std::uint32_t warmup_ms{0};
+    /// New requests per 1,000 s that one cold upstream may get, in sum over all
+    /// entry instances; 0: not limited.
+    std::uint32_t warmup_requests_per_1000_s{0};
 
     auto operator<=>(const planned_service&) const = default;
 };
--- a/src/state/routing_plan_fields.hpp
+++ b/src/state/routing_plan_fields.hpp
@@ -39,10 +39,15 @@
 {
     static auto tie(auto& value)
     {
-        return std::tie(value.name, value.health_path, value.max_connections);
+        return std::tie(value.name, value.health_path, value.max_connections,
+                        value.warmup_ms, value.warmup_requests_per_1000_s);
     }
 };
 
+template <>
+inline constexpr auto
+    required_fields<planned_service> = std::optional<std::size_t>(3);
+
 template <>
 struct fields_of<routing_plan>
 {
--- a/src/traffic/token_router_types.hpp
+++ b/src/traffic/token_router_types.hpp
@@ -30,7 +30,9 @@
     bool fin{false};
     bool rst{false};
     std::uint32_t sequence{0};
-    routing_token token{0}; ///< last token that the caller received
+    routing_token token{0};        ///< last token that the caller received
+    std::uint32_t acknowledged{0}; ///< next sequence expected of the upstream
+    std::uint32_t data_size{0};    ///< bytes of data
 
     auto operator<=>(const token_packet&) const = default;
 };
