--- a/cmake/layers.cmake
+++ b/cmake/layers.cmake
@@ -44,8 +44,6 @@
     add_executable(${name} ${sources})
     target_link_libraries(${name} PRIVATE ${ARGN} boragestand_options
         GTest::gtest_main rapidcheck)
-    target_compile_definitions(${name} PRIVATE
-        BORAGESTAND_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     gtest_discover_tests(${name} NO_PRETTY_VALUES PROPERTIES
         ENVIRONMENT "RC_PARAMS=seed=4117" TIMEOUT 300
         DISCOVERY_TIMEOUT 60)
