Evacuate data centres

Each order goes through the log, so that a former leader answers nothing from an older state. Directory replies carry all evacuations, the ended ones as well, and control instances save them with the directory. Entry instances place no new flow there, keep open ones, and reset a SYN if no other data centre is left and refusals are agreed to. After the end, upstreams of services with a rate for cold ones wait one and a half heartbeat intervals.

Ruled out: sending the end for some seconds only (an instance that was cut off for longer would keep the evacuation for ever).

--- a/scripts/check_names.sh
+++ b/scripts/check_names.sh
@@ -7,6 +7,7 @@
 names='PathPrefix|HealthPath|DatagramAddr|HeartbeatAddr|WarmupLeftMs'
 names+='|TargetLatencyMs|InternalPorts|ControlPlane|CountsAsLoss'
 names+='|Instances\.Heartbeat|Instances\.Deregister|Config\.Replace'
+names+='|Evacuations\.Start|Evacuations\.Stop|WarmupPerS|WarmupOverrun'
 if grep -rnwE "$names" src; then
     echo "src/ uses names of the platform, see above"
     exit 1
--- a/src/coordination/directory_messages.cpp
+++ b/src/coordination/directory_messages.cpp
@@ -1,7 +1,10 @@
 #include "coordination/directory_messages.hpp"
 
+#include "base/metrics_text.hpp"
 #include "state/routing_plan_fields.hpp"
 
+#include <algorithm>
+
 namespace boragestand::state::codec
 {
 
@@ -59,7 +62,7 @@
     {
         return std::tie(value.from_replica, value.sender, value.epoch,
                         value.cursor, value.plan_version, value.wants_current,
-                        value.load);
+                        value.load, value.evacuation_index);
     }
 };
 
@@ -109,6 +112,53 @@
 
 } // namespace
 
+std::vector<evacuation_notice>
+merge_evacuations(std::vector<evacuation_notice>& known,
+                  const std::vector<evacuation_notice>& received)
+{
+    std::vector<evacuation_notice> added;
+    for (const auto& notice : received)
+    {
+        const auto found =
+            std::find_if(known.begin(), known.end(),
+                         [&notice](const auto& each)
+                         { return each.data_centre == notice.data_centre; });
+        if (found == known.end())
+        {
+            known.push_back(notice);
+            added.push_back(notice);
+        }
+        else if (found->index < notice.index)
+        {
+            *found = notice;
+            added.push_back(notice);
+        }
+    }
+    return added;
+}
+
+std::uint64_t newest_index(const std::vector<evacuation_notice>& notices)
+{
+    std::uint64_t newest = 0;
+    for (const auto& notice : notices)
+    {
+        newest = std::max(newest, notice.index);
+    }
+    return newest;
+}
+
+void append_evacuations(std::string& text,
+                        const std::vector<evacuation_notice>& notices)
+{
+    append_header(text, "boragestand_evacuated",
+                  "1 if the data centre gets no new flows", "gauge");
+    for (const auto& notice : notices)
+    {
+        text += "boragestand_evacuated{data_centre=\"" + notice.data_centre +
+                "\"} " + (notice.active ? "1" : "0") + '\n';
+    }
+}
+
 std::string encode_message(const directory_request& message)
 {
     return encode_text(message);
--- a/src/coordination/directory_messages.hpp
+++ b/src/coordination/directory_messages.hpp
@@ -9,7 +9,7 @@
 namespace boragestand::coordination
 {
 
-/// A data centre that is evacuated, or whose evacuation ended a short time ago.
+/// A data centre that is evacuated, or whose evacuation has ended.
 struct evacuation_notice
 {
     std::string data_centre;
@@ -48,6 +48,8 @@
     /// Load and health of upstreams as seen by the sender, encoded by
     /// load_evidence; empty if it has none.
     std::string load;
+    /// Greatest log index of the evacuations that the sender holds.
+    std::uint64_t evacuation_index{0};
 
     auto operator<=>(const directory_request&) const = default;
 };
@@ -78,6 +80,19 @@
     auto operator<=>(const directory_reply&) const = default;
 };
 
+/// Adds notices to those that are known. Of two about one data centre the one
+/// with the greater log index stays. Returns the notices that were new.
+std::vector<evacuation_notice>
+merge_evacuations(std::vector<evacuation_notice>& known,
+                  const std::vector<evacuation_notice>& received);
+
+/// Greatest log index of some notices, 0 if there are none.
+std::uint64_t newest_index(const std::vector<evacuation_notice>& notices);
+
+/// Appends the state of each data centre in the Prometheus text format.
+void append_evacuations(std::string& text,
+                        const std::vector<evacuation_notice>& notices);
+
 /// Encodes a message with msgpack.
 std::string encode_message(const directory_request& message);
 std::string encode_message(const directory_reply& message);
--- a/src/coordination/upstream_registry.cpp
+++ b/src/coordination/upstream_registry.cpp
@@ -305,6 +305,13 @@
     return refreshes;
 }
 
+bool upstream_registry::has_data_centre(const std::string& name) const
+{
+    return std::any_of(records_.begin(), records_.end(),
+                       [&name](const auto& each)
+                       { return each.second.record.data_centre == name; });
+}
+
 const registered_upstream* upstream_registry::find(std::uint64_t id) const
 {
     const auto found = records_.find(id);
--- a/src/coordination/upstream_registry.hpp
+++ b/src/coordination/upstream_registry.hpp
@@ -130,6 +130,9 @@
     /// The record of an upstream, or null.
     const registered_upstream* find(std::uint64_t id) const;
 
+    /// Whether an upstream of this data centre is known.
+    bool has_data_centre(const std::string& name) const;
+
     std::size_t size() const { return records_.size(); }
 
 private:
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -85,7 +85,12 @@
     , log_(log)
     , stop_(std::move(stop))
     , peers_(loop, timers)
-    , machine_(log, [this] { directory_.publish(); })
+    , machine_(log,
+               [this]
+               {
+                   record_ended_evacuations();
+                   directory_.publish();
+               })
     , runner_(std::make_unique<replica::replica_runner>(
           std::move(disk), settings.address, random_number(),
           replica::replica_runner::parts{timers, peers_, machine_, log},
@@ -278,20 +283,25 @@
         saved_plan_ =
             std::make_shared<state::routing_plan>(std::move(*saved->plan));
     }
+    saved_evacuations_ = std::move(saved->evacuations);
     saves_.start_from({registry_.cursor(), registry_.leave_cursor(),
-                       saved_plan_ ? saved_plan_->version : 0});
+                       saved_plan_ ? saved_plan_->version : 0,
+                       coordination::newest_index(saved_evacuations_)});
 }
 
 void control_node::save_directory(time_point now)
 {
     const auto plan = newest_plan();
+    auto notices = evacuations();
     const directory_position position{registry_.cursor(),
-                                      registry_.leave_cursor(), plan->version};
+                                      registry_.leave_cursor(), plan->version,
+                                      coordination::newest_index(notices)};
     if (!saves_.is_due(position, now))
     {
         return;
     }
-    const auto saved = store_.save({registry_.changes_since(0, now), *plan});
+    const auto saved =
+        store_.save({registry_.changes_since(0, now), *plan, notices});
     saves_.record(position, saved.has_value(), timers_.now() - now, now);
     if (!saved)
     {
@@ -299,6 +309,58 @@
         return;
     }
     saved_plan_ = plan;
+    saved_evacuations_ = std::move(notices);
+}
+
+// The register does not hold times, so the end counts from when it became known
+// here.
+void control_node::record_ended_evacuations()
+{
+    for (const auto& [data_centre, entry] : machine_.evacuations().entries())
+    {
+        if (entry.active)
+        {
+            evacuations_ended_.erase(data_centre);
+        }
+        else
+        {
+            evacuations_ended_.try_emplace(data_centre, timers_.now());
+        }
+    }
+}
+
+// As with the plan, the saved evacuations may be newer than those known to be
+// committed.
+std::vector<coordination::evacuation_notice> control_node::evacuations() const
+{
+    const auto now = timers_.now();
+    auto notices = saved_evacuations_;
+    std::vector<coordination::evacuation_notice> committed;
+    for (const auto& [data_centre, entry] : machine_.evacuations().entries())
+    {
+        committed.push_back({data_centre, entry.active, entry.index, 0});
+    }
+    coordination::merge_evacuations(notices, committed);
+    for (auto& notice : notices)
+    {
+        const auto ended = evacuations_ended_.find(notice.data_centre);
+        const bool known = !notice.active && ended != evacuations_ended_.end();
+        notice.ended_ms =
+            known ? static_cast<std::uint32_t>(
+                        std::chrono::duration_cast<std::chrono::milliseconds>(
+                            now - ended->second)
+                            .count())
+                  : 0;
+    }
+    return notices;
+}
+
+bool control_node::is_known_data_centre(const std::string& name) const
+{
+    const auto& listed = settings_.data_centres;
+    return listed.empty() ||
+           std::find(listed.begin(), listed.end(), name) != listed.end() ||
+           registry_.has_data_centre(name);
 }
 
 // Before the group has a leader, the saved plan may be newer than the plan
@@ -365,7 +427,7 @@
 
 directory_server::view control_node::make_directory_view() const
 {
-    return {is_current(), newest_plan(), member_addresses()};
+    return {is_current(), newest_plan(), member_addresses(), evacuations()};
 }
 
 void control_node::handle_heartbeat(
@@ -441,6 +503,38 @@
         });
 }
 
+// Each order goes through the log: an instance that is no longer the leader may
+// hold an older state and must not answer from it.
+void control_node::submit(const state::evacuation_order& order,
+                          done_callback callback)
+{
+    if (!is_known_data_centre(order.data_centre))
+    {
+        callback(
+            failure(error_kind::not_found,
+                    "data centre \"" + order.data_centre + "\" is not known"));
+        return;
+    }
+    if (!runner_->is_leader())
+    {
+        callback(failure(error_kind::not_leader, "another instance leads"));
+        return;
+    }
+    runner_->submit(
+        state::encode_command(order),
+        [this, callback = std::move(callback), order,
+         started = timers_.now()](const result<std::uint64_t>& index)
+        {
+            log_.evacuation_answered(
+                order,
+                index ? "acknowledged"
+                      : error_info_for(index.error().kind).name,
+                timers_.now() - started);
+            runner_->defer([callback, index]
+                           { callback(index.map([](auto) {})); });
+        });
+}
+
 void control_node::read(plan_callback callback)
 {
     if (!runner_->is_leader())
@@ -500,6 +594,7 @@
     append_gauge(text, "boragestand_entries",
                  "Entry instances that asked for the directory",
                  directory_.entry_count());
+    append_evacuation_metrics(text);
     submissions_.append_to(text, "boragestand_submission_seconds",
                            "From a plan to its acknowledgement");
     leaves_.answer_times().append_to(
@@ -508,6 +603,20 @@
     return text;
 }
 
+void control_node::append_evacuation_metrics(std::string& text) const
+{
+    const auto notices = evacuations();
+    if (notices.empty())
+    {
+        return;
+    }
+    coordination::append_evacuations(text, notices);
+    append_gauge(text, "boragestand_entries_with_evacuations",
+                 "Entry instances that hold the newest evacuation order",
+                 directory_.entry_count_with_evacuations(
+                     coordination::newest_index(notices)));
+}
+
 // One removal at a time, and only while all other members answer, so that the
 // group stays large enough to tolerate the required number of failures.
 void control_node::remove_silent_member(time_point now)
--- a/src/fleet/control_node.hpp
+++ b/src/fleet/control_node.hpp
@@ -26,6 +26,8 @@
     /// Instances to ask for the group, or the first group itself.
     std::vector<transport::endpoint> seeds;
     bool may_found{false}; ///< a group, at the first start of the fleet
+    /// All data centres; empty if they are not known.
+    std::vector<std::string> data_centres;
     coordination::registry_settings registry;
     agreement::agreement_settings replication;
 };
@@ -61,6 +63,11 @@
     /// error_kind::not_leader on other instances than the leader.
     void submit(state::submitted_plan plan, done_callback callback);
 
+    /// Puts an evacuation, or its end, into force. An order that changes
+    /// nothing succeeds. error_kind::not_found if the data centre is not known,
+    /// error_kind::not_leader on other instances than the leader.
+    void submit(const state::evacuation_order& order, done_callback callback);
+
     /// Linearizable read of the plan in force. Errors as of submit();
     /// error_kind::not_found if there is none yet.
     void read(plan_callback callback);
@@ -110,6 +117,10 @@
     void load_directory();
     void save_directory(time_point now);
     std::shared_ptr<const state::routing_plan> newest_plan() const;
+    bool is_known_data_centre(const std::string& name) const;
+    void record_ended_evacuations();
+    std::vector<coordination::evacuation_notice> evacuations() const;
+    void append_evacuation_metrics(std::string& text) const;
     void confirm_leave(std::uint64_t upstream, std::uint64_t sequence,
                        done_callback callback);
     bool is_acknowledged_by_majority(std::uint64_t cursor) const;
@@ -131,6 +142,9 @@
     coordination::upstream_registry registry_;
     directory_store store_;
     std::shared_ptr<const state::routing_plan> saved_plan_;
+    std::vector<coordination::evacuation_notice> saved_evacuations_;
+    /// When this instance learned that an evacuation has ended.
+    std::map<std::string, time_point> evacuations_ended_;
     save_schedule saves_;
     directory_server directory_;
     std::map<transport::endpoint, std::unique_ptr<directory_client>>
--- a/src/fleet/directory_server.cpp
+++ b/src/fleet/directory_server.cpp
@@ -49,7 +49,7 @@
 {
     if (!request.from_replica)
     {
-        entries_[request.sender] = timers_.now();
+        entries_[request.sender] = {timers_.now(), request.evacuation_index};
         return;
     }
     if (request.epoch != epoch_)
@@ -79,8 +79,12 @@
 {
     const bool newer_plan =
         !request.from_replica && now.plan->version > request.plan_version;
+    const bool newer_evacuation =
+        !request.from_replica &&
+        coordination::newest_index(now.evacuations) > request.evacuation_index;
     return request.epoch != epoch_ || request.cursor < registry_.cursor() ||
-           newer_plan || (request.wants_current && now.current);
+           newer_plan || newer_evacuation ||
+           (request.wants_current && now.current);
 }
 
 void directory_server::reply(const directory_request& request,
@@ -100,6 +104,10 @@
         message.cursor = registry_.last_change(message.upstreams.back().id);
         message.has_more = message.cursor < registry_.cursor();
     }
+    if (!request.from_replica)
+    {
+        message.evacuations = now.evacuations;
+    }
     if (request.from_replica)
     {
         message.refreshes = take_refreshes(request.sender);
@@ -133,12 +141,22 @@
 }
 
 std::size_t directory_server::entry_count() const
+{
+    return entry_count_with_evacuations(0);
+}
+
+std::size_t
+directory_server::entry_count_with_evacuations(std::uint64_t index) const
 {
     const auto now = timers_.now();
     return static_cast<std::size_t>(
         std::count_if(entries_.begin(), entries_.end(),
-                      [now](const auto& each)
-                      { return now - each.second <= entry_lifetime; }));
+                      [now, index](const auto& each)
+                      {
+                          const auto& entry = each.second;
+                          return now - entry.last_request <= entry_lifetime &&
+                                 entry.evacuation_index >= index;
+                      }));
 }
 
 void directory_server::publish_soon()
--- a/src/fleet/directory_server.hpp
+++ b/src/fleet/directory_server.hpp
@@ -25,6 +25,7 @@
         bool current{false};
         std::shared_ptr<const state::routing_plan> plan;
         std::vector<transport::endpoint> controls;
+        std::vector<coordination::evacuation_notice> evacuations;
     };
 
     /// epoch is a random number that identifies this run.
@@ -55,7 +56,16 @@
     /// Entry instances that asked within the last seconds.
     std::size_t entry_count() const;
 
+    /// Those of them that hold the evacuations up to a log index.
+    std::size_t entry_count_with_evacuations(std::uint64_t index) const;
+
 private:
+    struct entry_instance
+    {
+        time_point last_request;
+        std::uint64_t evacuation_index{0};
+    };
+
     struct waiting_request
     {
         coordination::directory_request request;
@@ -80,8 +90,7 @@
     std::map<std::uint64_t, waiting_request> waiting_;
     std::uint64_t next_waiting_{1};
     std::map<transport::endpoint, std::uint64_t> acknowledged_;
-    std::map<transport::endpoint, time_point>
-        entries_; ///< last request of each
+    std::map<transport::endpoint, entry_instance> entries_;
     /// When heartbeats were last listed for a control instance.
     std::map<transport::endpoint, time_point> refreshed_;
     transport::subscription delayed_publish_;
--- a/src/fleet/directory_store.cpp
+++ b/src/fleet/directory_store.cpp
@@ -28,7 +28,8 @@
     {
         return failure(error_kind::storage_corrupt, reply.error().message);
     }
-    return saved_directory{std::move(reply->upstreams), std::move(reply->plan)};
+    return saved_directory{std::move(reply->upstreams), std::move(reply->plan),
+                           std::move(reply->evacuations)};
 }
 
 result<void> directory_store::save(const saved_directory& directory)
@@ -36,6 +37,7 @@
     coordination::directory_reply reply;
     reply.upstreams = directory.upstreams;
     reply.plan = directory.plan;
+    reply.evacuations = directory.evacuations;
     return state::replace_checksummed_file(*files_, file_name,
                                            coordination::encode_message(reply));
 }
--- a/src/fleet/directory_store.hpp
+++ b/src/fleet/directory_store.hpp
@@ -15,6 +15,8 @@
     /// A plan that was committed, not necessarily the newest; none before the
     /// first.
     std::optional<state::routing_plan> plan;
+    /// Evacuations that were committed, possibly followed by newer orders.
+    std::vector<coordination::evacuation_notice> evacuations;
 
     auto operator<=>(const saved_directory&) const = default;
 };
--- a/src/fleet/entry_node.cpp
+++ b/src/fleet/entry_node.cpp
@@ -40,9 +40,22 @@
     coordination::directory_request request;
     request.sender = settings_.address;
     request.plan_version = router_.plan_version();
+    request.evacuation_index = coordination::newest_index(evacuations_);
     return request;
 }
 
+void entry_node::apply_evacuations(
+    const std::vector<coordination::evacuation_notice>& received,
+    const transport::endpoint& source)
+{
+    const auto added = coordination::merge_evacuations(evacuations_, received);
+    for (const auto& notice : added)
+    {
+        log_.evacuation_in_force(notice, source);
+        router_.apply(notice, timers_.now());
+    }
+}
+
 void entry_node::apply_update(const directory_update& update,
                               const transport::endpoint& source)
 {
@@ -54,6 +67,7 @@
             log_.upstream_changed(record, transport::to_string(source));
         }
     }
+    apply_evacuations(reply.evacuations, source);
     const bool complete = update.scope == reply_scope::whole && reply.current;
     router_.apply(reply.upstreams, complete, timers_.now());
     const auto former = router_.plan_version();
@@ -111,6 +125,9 @@
                    "Packets sent on by their token", counters.by_token);
     append_counter(text, "boragestand_resets_total",
                    "SYNs to destinations without a route", counters.resets);
+    append_counter(text, "boragestand_evacuated_resets_total",
+                   "SYNs refused because all upstreams are evacuated",
+                   counters.evacuated);
     append_header(text, "boragestand_drops_total",
                   "Packets dropped without an answer", "counter");
     for (std::size_t i = 0; i < counters.drops.size(); ++i)
@@ -126,6 +143,10 @@
                  router_.upstream_count());
     append_gauge(text, "boragestand_plan_version",
                  "Version of the plan in force", router_.plan_version());
+    if (!evacuations_.empty())
+    {
+        coordination::append_evacuations(text, evacuations_);
+    }
     const auto age = directory_age(now).value_or(now - started_);
     append_gauge(text, "boragestand_directory_age_milliseconds",
                  "Time since a control instance replied",
--- a/src/fleet/entry_node.hpp
+++ b/src/fleet/entry_node.hpp
@@ -74,11 +74,15 @@
     coordination::directory_request make_request();
     void apply_update(const directory_update& update,
                       const transport::endpoint& source);
+    void apply_evacuations(
+        const std::vector<coordination::evacuation_notice>& received,
+        const transport::endpoint& source);
 
     transport::timer_service& timers_;
     entry_node_settings settings_;
     fleet_log& log_;
     traffic::token_router router_;
+    std::vector<coordination::evacuation_notice> evacuations_;
     directory_subscription directory_;
     std::function<void()> first_plan_callback_;
     transport::subscription sweep_;
--- a/src/fleet/fleet_log.cpp
+++ b/src/fleet/fleet_log.cpp
@@ -73,6 +73,50 @@
                   });
 }
 
+void fleet_log::evacuation_applied(const state::evacuation_order& order,
+                                   std::uint64_t index, bool changed)
+{
+    lines().write(log_level::info,
+                  [&]
+                  {
+                      return log_line("evacuation_applied")
+                          .with("data_centre", order.data_centre)
+                          .with("active", order.active)
+                          .with("index", index)
+                          .with("outcome", changed ? "in_force" : "unchanged");
+                  });
+}
+
+void fleet_log::evacuation_answered(const state::evacuation_order& order,
+                                    std::string_view outcome, duration taken)
+{
+    lines().write(log_level::info,
+                  [&]
+                  {
+                      return log_line("evacuation_answered")
+                          .with("data_centre", order.data_centre)
+                          .with("active", order.active)
+                          .with("outcome", outcome)
+                          .with("taken_ms", milliseconds(taken));
+                  });
+}
+
+void fleet_log::evacuation_in_force(
+    const coordination::evacuation_notice& notice,
+    const transport::endpoint& source)
+{
+    lines().write(log_level::info,
+                  [&]
+                  {
+                      return log_line("evacuation_in_force")
+                          .with("data_centre", notice.data_centre)
+                          .with("active", notice.active)
+                          .with("index", notice.index)
+                          .with("ended_ms", notice.ended_ms)
+                          .with("source", transport::to_string(source));
+                  });
+}
+
 void fleet_log::plan_answered(std::uint64_t version, std::uint64_t in_force,
                               std::string_view outcome, duration taken)
 {
--- a/src/fleet/fleet_log.hpp
+++ b/src/fleet/fleet_log.hpp
@@ -26,6 +26,18 @@
     /// one.
     void plan_loaded(std::uint64_t version, std::size_t routes);
 
+    /// A committed evacuation order was applied.
+    void evacuation_applied(const state::evacuation_order& order,
+                            std::uint64_t index, bool changed);
+
+    /// An operator's evacuation order was answered.
+    void evacuation_answered(const state::evacuation_order& order,
+                             std::string_view outcome, duration taken);
+
+    /// An evacuation, or its end, is in force at this entry instance.
+    void evacuation_in_force(const coordination::evacuation_notice& notice,
+                             const transport::endpoint& source);
+
     /// An operator's plan was answered. version is 0 if it could not be read.
     void plan_answered(std::uint64_t version, std::uint64_t in_force,
                        std::string_view outcome, duration taken);
--- a/src/fleet/save_schedule.cpp
+++ b/src/fleet/save_schedule.cpp
@@ -29,7 +29,8 @@
     {
         interval = plan_save_interval;
     }
-    if (position.leave_cursor != saved_.leave_cursor)
+    if (position.leave_cursor != saved_.leave_cursor ||
+        position.evacuation_index > saved_.evacuation_index)
     {
         interval = leave_save_interval;
     }
--- a/src/fleet/save_schedule.hpp
+++ b/src/fleet/save_schedule.hpp
@@ -14,14 +14,16 @@
     std::uint64_t cursor{0};       ///< of the last change of an upstream
     std::uint64_t leave_cursor{0}; ///< of the last upstream that left
     std::uint64_t plan_version{0};
+    std::uint64_t evacuation_index{0}; ///< of the newest evacuation
 
     auto operator<=>(const directory_position&) const = default;
 };
 
 /// Decides when a control instance saves its directory. A saved upstream that
-/// has left meanwhile would get flows again after a restart of all instances,
-/// so leaves are saved almost at once; other upstreams send heartbeats. A save
-/// that fails is repeated.
+/// has left meanwhile, or whose data centre was evacuated, would get flows
+/// again after a restart of all instances, so leaves and evacuations are saved
+/// almost at once; other upstreams send heartbeats. A save that fails is
+/// repeated.
 class save_schedule
 {
 public:
--- a/src/settings/fleet_settings.cpp
+++ b/src/settings/fleet_settings.cpp
@@ -198,9 +198,10 @@
 
 } // namespace
 
-bool fleet_settings::has_feature(std::string_view name) const
+bool fleet_settings::has_feature(std::string_view feature) const
 {
-    return std::find(features.begin(), features.end(), name) != features.end();
+    return std::find(features.begin(), features.end(), feature) !=
+           features.end();
 }
 
 document::checked<fleet_settings> read_fleet_settings(std::string_view yaml)
--- a/src/settings/fleet_settings.hpp
+++ b/src/settings/fleet_settings.hpp
@@ -55,7 +55,7 @@
 
     auto operator<=>(const fleet_settings&) const = default;
 
-    bool has_feature(std::string_view name) const;
+    bool has_feature(std::string_view feature) const;
 };
 
 /// Features of fleet_settings.
--- a/src/traffic/token_router.cpp
+++ b/src/traffic/token_router.cpp
@@ -31,6 +31,11 @@
     return "by_token";
 }
 
+std::string_view to_text(reset_reason reason)
+{
+    return reason == reset_reason::no_route ? "no_route" : "evacuated";
+}
+
 std::string_view to_text(token_drop_reason reason)
 {
     switch (reason)
@@ -67,6 +72,7 @@
         return false;
     }
     plan_version_ = plan.version;
+    pool_.apply(plan.services);
     routes_.clear();
     for (const auto& route : plan.routes)
     {
@@ -194,12 +200,12 @@
     }
     const auto hash = mix_hashes(flow_hash{}(packet.flow), packet.sequence);
     std::uint32_t candidates = 0;
+    const auto& service = select_service(route->second, hash);
     auto* upstream =
-        pool_.choose(select_service(route->second, hash),
-                     record.tried_upstreams, hash, now, candidates);
+        pool_.choose(service, record.tried_upstreams, hash, now, candidates);
     if (upstream == nullptr)
     {
-        return drop(token_drop_reason::no_upstream);
+        return refuse(service, now);
     }
     const forward_packet decision{
         upstream->record.id,  upstream->record.address,
@@ -220,6 +226,18 @@
     return decision;
 }
 
+// A gap in the list of upstreams is mostly shorter than the callers' pauses
+// between SYNs; an evacuation lasts longer than callers wait.
+token_decision token_router::refuse(const std::string& service, time_point now)
+{
+    if (settings_.may_refuse && pool_.is_evacuated(service, now))
+    {
+        ++counters_.evacuated;
+        return reset_caller{reset_reason::evacuated};
+    }
+    return drop(token_drop_reason::no_upstream);
+}
+
 token_decision token_router::forward_by_token(const token_packet& packet)
 {
     if (packet.token == 0)
--- a/src/traffic/token_router.hpp
+++ b/src/traffic/token_router.hpp
@@ -34,6 +34,12 @@
     /// newer than the one in force.
     bool apply(const state::routing_plan& plan);
 
+    /// Applies an evacuation or its end.
+    void apply(const coordination::evacuation_notice& notice, time_point now)
+    {
+        pool_.apply(notice, now);
+    }
+
     /// Records that the plan in force was the newest at this time.
     void confirm_plan(time_point when)
     {
@@ -99,6 +105,7 @@
     token_decision continue_flow(const token_packet& packet, time_point now);
     token_decision forward_by_token(const token_packet& packet);
     token_decision drop(token_drop_reason reason);
+    token_decision refuse(const std::string& service, time_point now);
     void complete_handshake(const token_packet& packet, flow_record& record,
                             time_point now);
     void abandon_attempt(flow_record& record, time_point now);
--- a/src/traffic/token_router_types.hpp
+++ b/src/traffic/token_router_types.hpp
@@ -75,9 +75,21 @@
     auto operator<=>(const forward_packet&) const = default;
 };
 
-/// Answer the caller with a reset: no route leads from the destination.
+/// Why a caller is answered with a reset. None of its packets was sent on.
+enum class reset_reason : std::uint8_t
+{
+    no_route, ///< no route leads from the destination
+    evacuated ///< all upstreams of the service are in evacuated data centres
+};
+
+/// Name of a reason for logs.
+std::string_view to_text(reset_reason reason);
+
+/// Answer the caller with a reset.
 struct reset_caller
 {
+    reset_reason reason{reset_reason::no_route};
+
     auto operator<=>(const reset_caller&) const = default;
 };
 
@@ -135,6 +147,12 @@
     /// every half second, each up to half a second after its request.
     duration plan_confirmation_lifetime{std::chrono::milliseconds(1500)};
     std::size_t max_flows{200000};
+    /// After the end of an evacuation, upstreams whose service limits the rate
+    /// of cold ones wait this long: one and a half intervals of heartbeats,
+    /// after which their records say whether they are cold.
+    duration evacuation_return_delay{std::chrono::milliseconds(1800)};
+    /// Callers for whom there is no upstream may be reset.
+    bool may_refuse{false};
 };
 
 /// Counters since the start.
@@ -145,6 +163,7 @@
     std::uint64_t by_flow{0};
     std::uint64_t by_token{0};
     std::uint64_t resets{0};
+    std::uint64_t evacuated{0};  ///< resets for evacuated data centres
     std::uint64_t unanswered{0}; ///< SYNs whose upstream did not answer
     std::array<std::uint64_t, 5> drops{}; ///< by token_drop
 };
--- a/src/traffic/upstream_pool.cpp
+++ b/src/traffic/upstream_pool.cpp
@@ -83,6 +83,76 @@
     target.token_conflicts = !added && holder->second != record.id;
 }
 
+void upstream_pool::apply(const std::vector<state::planned_service>& services)
+{
+    warmup_rates_.clear();
+    for (const auto& service : services)
+    {
+        if (service.warmup_requests_per_1000_s > 0)
+        {
+            warmup_rates_[service.name] = service.warmup_requests_per_1000_s;
+        }
+    }
+}
+
+void upstream_pool::apply(const coordination::evacuation_notice& notice,
+                          time_point now)
+{
+    auto& target = evacuations_[hash_text(notice.data_centre)];
+    target.active = notice.active;
+    if (!notice.active)
+    {
+        const duration since_end = std::chrono::milliseconds(notice.ended_ms);
+        target.returns_at = now - since_end + settings_.evacuation_return_delay;
+    }
+}
+
+bool upstream_pool::is_in_use(const member& candidate) const
+{
+    return candidate.record.condition ==
+               coordination::upstream_condition::ready &&
+           !candidate.token_conflicts && !candidate.unlisted;
+}
+
+bool upstream_pool::is_evacuated(const member& candidate, time_point now) const
+{
+    const auto found = evacuations_.find(candidate.data_centre);
+    if (found == evacuations_.end())
+    {
+        return false;
+    }
+    // Upstreams may have become cold just before the end, which their next
+    // heartbeats tell.
+    return found->second.active ||
+           (now < found->second.returns_at &&
+            warmup_rates_.contains(candidate.record.service));
+}
+
+bool upstream_pool::is_evacuated(const std::string& service,
+                                 time_point now) const
+{
+    const auto ids = by_service_.find(service);
+    if (ids == by_service_.end())
+    {
+        return false;
+    }
+    bool any = false;
+    for (const auto id : ids->second)
+    {
+        const auto& candidate = members_.at(id);
+        if (!is_in_use(candidate))
+        {
+            continue;
+        }
+        if (!is_evacuated(candidate, now))
+        {
+            return false;
+        }
+        any = true;
+    }
+    return any;
+}
+
 upstream_pool::member* upstream_pool::find(std::uint64_t id)
 {
     const auto found = members_.find(id);
@@ -178,9 +248,7 @@
     for (const auto id : ids->second)
     {
         auto& candidate = members_.at(id);
-        if (candidate.record.condition !=
-                coordination::upstream_condition::ready ||
-            candidate.token_conflicts || candidate.unlisted)
+        if (!is_in_use(candidate) || is_evacuated(candidate, now))
         {
             continue;
         }
--- a/src/traffic/upstream_pool.hpp
+++ b/src/traffic/upstream_pool.hpp
@@ -46,6 +46,17 @@
     void apply(const std::vector<coordination::registered_upstream>& records,
                bool full, time_point now);
 
+    /// Applies the services of a plan.
+    void apply(const std::vector<state::planned_service>& services);
+
+    /// Applies an evacuation or its end. Upstreams of an evacuated data centre
+    /// get no new flows.
+    void apply(const coordination::evacuation_notice& notice, time_point now);
+
+    /// Whether the service has upstreams that are ready and all of them are in
+    /// evacuated data centres.
+    bool is_evacuated(const std::string& service, time_point now) const;
+
     /// The upstream that a token names, or null.
     member* find_by_token(routing_token token);
 
@@ -94,6 +105,15 @@
         std::size_t silent_upstreams{0}; ///< in the last check
     };
 
+    /// Evacuation of a data centre.
+    struct evacuation_state
+    {
+        bool active{false};
+        time_point returns_at; ///< upstreams with a rate stay out until then
+    };
+
+    bool is_in_use(const member& candidate) const;
+    bool is_evacuated(const member& candidate, time_point now) const;
     void apply_record(const coordination::registered_upstream& record,
                       time_point now);
     bool is_silent(const member& candidate, time_point now) const;
@@ -106,6 +126,11 @@
     time_point last_backlog_{}; ///< packets were waiting to be read
     std::map<std::uint64_t, member> members_;
     std::map<std::uint64_t, data_centre_state> data_centres_;
+    std::map<std::uint64_t, evacuation_state>
+        evacuations_; ///< by hash of the data centre
+    /// Services that limit the requests of cold upstreams, with the requests
+    /// per 1,000 s.
+    std::map<std::string, std::uint32_t> warmup_rates_;
     std::map<std::string, std::vector<std::uint64_t>> by_service_;
     std::unordered_map<routing_token, std::uint64_t> by_token_;
     std::unordered_map<routing_token, former_token> former_tokens_;
--- a/tests/fleet/fleet_group.cpp
+++ b/tests/fleet/fleet_group.cpp
@@ -73,6 +73,7 @@
     settings.data_directory = directory(number);
     settings.seeds = seeds();
     settings.may_found = first_start;
+    settings.data_centres = {"a", "b"};
     settings.registry.lease = lease;
     settings.replication.first_election_timeout =
         std::chrono::milliseconds(150);
@@ -148,15 +149,32 @@
 
 result<void> fleet_group::submit(std::uint64_t version,
                                  const std::string& document)
+{
+    return ask_leader(
+        [&](control_node& leading, done_callback done)
+        { leading.submit(make_plan(version, document), std::move(done)); });
+}
+
+result<void> fleet_group::evacuate(const std::string& data_centre, bool active)
+{
+    return ask_leader(
+        [&](control_node& leading, done_callback done)
+        {
+            leading.submit(state::evacuation_order{data_centre, active},
+                           std::move(done));
+        });
+}
+
+result<void> fleet_group::ask_leader(
+    const std::function<void(control_node&, done_callback)>& ask)
 {
     std::optional<result<void>> outcome;
     bool asked = false;
     const bool done = run_until(
         [&]
         {
-            const bool again =
-                outcome && !*outcome &&
-                outcome->error().kind != error_kind::invalid_argument;
+            const bool again = outcome && !*outcome &&
+                               error_info_for(outcome->error().kind).retryable;
             if (again)
             {
                 outcome.reset();
@@ -166,9 +184,8 @@
             if (!asked && leading != 0)
             {
                 asked = true;
-                at(leading).submit(make_plan(version, document),
-                                   [&outcome](const result<void>& answer)
-                                   { outcome = answer; });
+                ask(at(leading), [&outcome](const result<void>& answer)
+                    { outcome = answer; });
             }
             return outcome.has_value();
         });
--- a/tests/fleet/fleet_group.hpp
+++ b/tests/fleet/fleet_group.hpp
@@ -45,6 +45,10 @@
     /// Submits a plan to the leader, with retries, until it is acknowledged.
     result<void> submit(std::uint64_t version, const std::string& document);
 
+    /// Orders an evacuation or its end at the leader, with retries, until it is
+    /// acknowledged.
+    result<void> evacuate(const std::string& data_centre, bool active);
+
     /// Reads the plan's document from the leader; empty if there is none.
     std::string read();
 
@@ -68,7 +72,11 @@
     transport::timer_service& timers() { return timers_; }
 
 private:
+    using done_callback = std::function<void(result<void>)>;
+
     std::string directory(std::uint32_t number) const;
+    result<void>
+    ask_leader(const std::function<void(control_node&, done_callback)>& ask);
 
     transport::main_loop loop_;
     transport::timer_service timers_{loop_};
