Keep the indexes of upstreams consistent when identities return

Change: one place changes each index of the registry and the pool. Records of services that no plan names take no address from a present upstream. Of two upstreams with one token the one that started first gets it, in whatever order they are learned. Upstreams that stay lost are forgotten. A packet whose sequence is far from the SYN of a record, or whose token names an upstream that an ended record never tried, goes by its token. Standard output without a reader ends no process; a caller that has closed its sending half gets its answer.

--- a/src/coordination/upstream_registry.cpp
+++ b/src/coordination/upstream_registry.cpp
@@ -80,7 +80,7 @@
 }
 
 update_outcome upstream_registry::apply(const registered_upstream& record,
-                                        time_point now)
+                                        time_point now, address_claim claim)
 {
     const auto found = records_.find(record.id);
     if (found != records_.end() && is_stale(found->second.record, record))
@@ -91,7 +91,7 @@
     {
         return update_outcome::stale;
     }
-    if (resolve_address_conflict(record, now))
+    if (resolve_address_conflict(record, claim, now))
     {
         return update_outcome::stale;
     }
@@ -111,14 +111,23 @@
 // An address belongs to the upstream that started last. Returns true if another
 // upstream keeps the record's address; a previous owner is marked as gone.
 bool upstream_registry::resolve_address_conflict(
-    const registered_upstream& record, time_point now)
+    const registered_upstream& record, address_claim claim, time_point now)
 {
     const auto holder = by_address_.find(record.address);
     if (holder == by_address_.end() || holder->second == record.id)
     {
         return false;
     }
-    auto& other = records_.at(holder->second);
+    const auto found = records_.find(holder->second);
+    if (found == records_.end())
+    {
+        return false;
+    }
+    auto& other = found->second;
+    if (claim == address_claim::free_only && is_present(other.record.condition))
+    {
+        return true;
+    }
     if (other.record.incarnation > record.incarnation &&
         record.condition != upstream_condition::gone)
     {
@@ -134,10 +143,15 @@
     return false;
 }
 
+// The only place that changes a record and its entry in by_address_.
 void upstream_registry::store_change(entry& target,
                                      const registered_upstream& record,
                                      time_point now)
 {
+    if (target.record.address != record.address)
+    {
+        release_address(target.record);
+    }
     target.record = record;
     target.last_change = ++cursor_;
     if (record.condition != upstream_condition::ready)
@@ -155,6 +169,22 @@
     }
 }
 
+void upstream_registry::release_address(const registered_upstream& record)
+{
+    const auto holder = by_address_.find(record.address);
+    if (holder != by_address_.end() && holder->second == record.id)
+    {
+        by_address_.erase(holder);
+    }
+}
+
+std::uint64_t
+upstream_registry::holder_of(const transport::endpoint& address) const
+{
+    const auto holder = by_address_.find(address);
+    return holder == by_address_.end() ? 0 : holder->second;
+}
+
 update_outcome upstream_registry::apply(const upstream_refresh& refresh,
                                         time_point now)
 {
@@ -170,14 +200,21 @@
     {
         return update_outcome::stale;
     }
+    auto returned = known.record;
+    returned.condition = known.announced_condition;
+    const bool was_lost = known.record.condition == upstream_condition::lost;
+    if (was_lost &&
+        resolve_address_conflict(returned, address_claim::free_only, now))
+    {
+        return update_outcome::stale;
+    }
     known.last_alive = now;
     known.record.sequence = refresh.sequence;
-    if (known.record.condition != upstream_condition::lost)
+    if (!was_lost)
     {
         return update_outcome::refreshed;
     }
-    auto returned = known.record;
-    returned.condition = known.announced_condition;
+    returned.sequence = refresh.sequence;
     store_change(known, returned, now);
     return update_outcome::changed;
 }
@@ -245,11 +282,7 @@
         }
         if (!present && now - known.updated_at >= settings_.tombstone_lifetime)
         {
-            const auto holder = by_address_.find(known.record.address);
-            if (holder != by_address_.end() && holder->second == it->first)
-            {
-                by_address_.erase(holder);
-            }
+            release_address(known.record);
             it = records_.erase(it);
             continue;
         }
--- a/src/coordination/upstream_registry.hpp
+++ b/src/coordination/upstream_registry.hpp
@@ -63,6 +63,14 @@
 /// Name of an outcome for logs.
 std::string_view to_text(update_outcome outcome);
 
+/// Whether a record may take an address over from another upstream that is
+/// present. Records of services that no plan names may not.
+enum class address_claim : std::uint8_t
+{
+    may_replace,
+    free_only
+};
+
 /// Times and limits of a registry.
 struct registry_settings
 {
@@ -91,7 +99,12 @@
     }
 
     /// Applies a record received from the upstream or from another instance.
-    update_outcome apply(const registered_upstream& record, time_point now);
+    update_outcome apply(const registered_upstream& record, time_point now,
+                         address_claim claim = address_claim::may_replace);
+
+    /// The upstream that holds an address: the one that started last of those
+    /// that have announced it; 0 if there is none.
+    std::uint64_t holder_of(const transport::endpoint& address) const;
 
     /// Applies a refresh received from another instance.
     update_outcome apply(const upstream_refresh& refresh, time_point now);
@@ -149,9 +162,10 @@
 
     void compensate_for_pause(time_point now);
     bool resolve_address_conflict(const registered_upstream& record,
-                                  time_point now);
+                                  address_claim claim, time_point now);
     void store_change(entry& target, const registered_upstream& record,
                       time_point now);
+    void release_address(const registered_upstream& record);
 
     registry_settings settings_;
     std::map<std::uint64_t, entry> records_;
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -243,7 +243,7 @@
     bool changed = false;
     for (const auto& record : reply.upstreams)
     {
-        if (registry_.apply(record, now) ==
+        if (registry_.apply(record, now, claim_of(record)) ==
             coordination::update_outcome::changed)
         {
             changed = true;
@@ -262,6 +262,19 @@
     }
 }
 
+// Upstreams announce themselves before the first plan names their services.
+coordination::address_claim
+control_node::claim_of(const coordination::registered_upstream& record) const
+{
+    const auto plan = newest_plan();
+    const bool named = std::any_of(plan->services.begin(), plan->services.end(),
+                                   [&record](const auto& each)
+                                   { return each.name == record.service; });
+    return named || plan->version == 0
+               ? coordination::address_claim::may_replace
+               : coordination::address_claim::free_only;
+}
+
 // Upstreams send heartbeats and the group stores the plan, so losing this file
 // only delays recovery.
 void control_node::load_directory()
@@ -434,7 +447,7 @@
     const coordination::registered_upstream& record, done_callback callback)
 {
     const auto now = timers_.now();
-    const auto outcome = registry_.apply(record, now);
+    const auto outcome = registry_.apply(record, now, claim_of(record));
     if (outcome != coordination::update_outcome::stale)
     {
         registry_.record_direct_heartbeat(record.id, now);
--- a/src/fleet/control_node.hpp
+++ b/src/fleet/control_node.hpp
@@ -112,6 +112,8 @@
     void update_member_clients();
     void add_member_client(const transport::endpoint& member);
     void apply_reply(const coordination::directory_reply& reply);
+    coordination::address_claim
+    claim_of(const coordination::registered_upstream& record) const;
     void remove_silent_member(time_point now);
     void expire_upstreams(time_point now);
     void load_directory();
--- a/src/fleet/fleet_program.cpp
+++ b/src/fleet/fleet_program.cpp
@@ -36,6 +36,8 @@
                              std::unique_ptr<settings::event_log> lines)
     : settings_(std::move(settings)), lines_(std::move(lines)), log_(*lines_)
 {
+    // A reader of the log that has gone away must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
     log_.lifecycle("start", settings_.current().internal);
     subscriptions_.push_back(timers_.every(report_interval,
                                            [this](time_point now)
--- a/src/traffic/token_router.cpp
+++ b/src/traffic/token_router.cpp
@@ -8,6 +8,10 @@
 namespace
 {
 
+// A packet whose sequence number is further from the SYN belongs to another
+// flow; flows of callers carry far less than 16 MiB.
+constexpr std::uint32_t max_flow_bytes = 16 * 1024 * 1024;
+
 std::uint64_t to_integer(const transport::endpoint& value)
 {
     return std::uint64_t{value.address} << 16 | value.port;
@@ -112,7 +116,8 @@
     return open_flow(packet, now);
 }
 
-// A record whose upstream was removed is useless and removed, too.
+// A record whose upstream was removed or has restarted is useless and removed,
+// too.
 token_router::flow_record* token_router::find_flow(const token_flow& flow)
 {
     const auto found = flows_.find(flow);
@@ -120,7 +125,8 @@
     {
         return nullptr;
     }
-    if (pool_.find(found->second.upstream) != nullptr)
+    const auto* const upstream = pool_.find(found->second.upstream);
+    if (upstream != nullptr && upstream->token == found->second.token)
     {
         return &found->second;
     }
@@ -128,6 +134,39 @@
     return nullptr;
 }
 
+void token_router::assign(flow_record& record,
+                          const upstream_pool::member& upstream)
+{
+    record.upstream = upstream.record.id;
+    record.token = upstream.token;
+}
+
+// Callers use their ports again, and the SYN of the next flow may have passed
+// another instance. A late answer to a repeated SYN can also give the caller
+// the token of another upstream, so a token alone does not end a record.
+bool token_router::belongs_to(const token_packet& packet,
+                              const flow_record& record) const
+{
+    if (packet.token == 0 || packet.token == record.token)
+    {
+        return true;
+    }
+    const auto* const named = pool_.find_by_token(packet.token);
+    if (named == nullptr)
+    {
+        return true;
+    }
+    // Unsigned subtraction, since sequence numbers wrap around.
+    if (packet.sequence - record.sequence > max_flow_bytes)
+    {
+        return false;
+    }
+    const auto& tried = record.tried_upstreams;
+    return record.phase != flow_phase::ended ||
+           std::find(tried.begin(), tried.end(), named->record.id) !=
+               tried.end();
+}
+
 token_decision token_router::open_flow(const token_packet& packet,
                                        time_point now)
 {
@@ -216,7 +255,7 @@
     if (flows_.size() < settings_.max_flows || flows_.contains(packet.flow))
     {
         pool_.record_syn(*upstream, now);
-        record.upstream = upstream->record.id;
+        assign(record, *upstream);
         record.counted_as_open = true;
         record.last_syn = now;
         record.last_packet = now;
@@ -258,7 +297,7 @@
                                            time_point now)
 {
     auto* record = find_flow(packet.flow);
-    if (record == nullptr)
+    if (record == nullptr || !belongs_to(packet, *record))
     {
         return forward_by_token(packet);
     }
@@ -299,7 +338,7 @@
     }
     std::erase(placed->unanswered, record.last_syn);
     stop_counting(record);
-    record.upstream = answered->record.id;
+    assign(record, *answered);
     record.counted_as_open = true;
     ++answered->open_flows;
     record.phase = flow_phase::open;
@@ -313,7 +352,8 @@
     }
     record.counted_as_open = false;
     auto* upstream = pool_.find(record.upstream);
-    if (upstream != nullptr && upstream->open_flows > 0)
+    if (upstream != nullptr && upstream->token == record.token &&
+        upstream->open_flows > 0)
     {
         --upstream->open_flows;
     }
--- a/src/traffic/token_router.hpp
+++ b/src/traffic/token_router.hpp
@@ -79,6 +79,7 @@
     struct flow_record
     {
         std::uint64_t upstream{0};
+        routing_token token{0};    ///< of the upstream's incarnation
         std::uint32_t sequence{0}; ///< of the SYN
         flow_phase phase{flow_phase::opening};
         bool counted_as_open{false}; ///< as an open flow of the upstream
@@ -99,6 +100,9 @@
     };
 
     flow_record* find_flow(const token_flow& flow);
+    bool belongs_to(const token_packet& packet,
+                    const flow_record& record) const;
+    void assign(flow_record& record, const upstream_pool::member& upstream);
     token_decision open_flow(const token_packet& packet, time_point now);
     token_decision place_flow(const token_packet& packet, flow_record& record,
                               forward_reason reason, time_point now);
--- a/src/traffic/upstream_pool.cpp
+++ b/src/traffic/upstream_pool.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace boragestand::traffic
 {
@@ -21,11 +22,6 @@
            std::tie(known.incarnation, known.sequence, known.condition);
 }
 
-void erase_from(std::vector<std::uint64_t>& ids, std::uint64_t id)
-{
-    std::erase(ids, id);
-}
-
 } // namespace
 
 void upstream_pool::apply(
@@ -37,7 +33,7 @@
     {
         present.insert(record.id);
         apply_record(record, now);
-        members_.at(record.id).unlisted = false;
+        members_[record.id].unlisted = false;
     }
     if (!full)
     {
@@ -45,32 +41,35 @@
     }
     for (auto& [id, known] : members_)
     {
-        known.unlisted = !present.contains(id);
+        const bool unlisted = !present.contains(id);
+        if (unlisted && !known.unlisted)
+        {
+            known.unlisted_since = now;
+        }
+        known.unlisted = unlisted;
     }
 }
 
 void upstream_pool::apply_record(
     const coordination::registered_upstream& record, time_point now)
 {
-    auto& target = members_[record.id];
-    if (target.token != 0 && is_older(record, target.record))
-    {
-        return;
-    }
     const auto token = make_routing_token(record.id, record.incarnation);
-    const bool restarted = target.token != token;
-    if (restarted && target.token != 0)
-    {
-        by_token_.erase(target.token);
-        former_tokens_[target.token] = {record.id,
-                                        now + settings_.former_token_lifetime};
-        target = {};
-    }
-    if (target.record.service != record.service)
+    const auto found = members_.find(record.id);
+    if (found != members_.end())
     {
-        erase_from(by_service_[target.record.service], record.id);
-        by_service_[record.service].push_back(record.id);
+        auto& known = found->second;
+        if (is_older(record, known.record))
+        {
+            return;
+        }
+        remove_from_indexes(known);
+        if (known.token != token)
+        {
+            remember_former(known, record, now);
+            known = {};
+        }
     }
+    auto& target = members_[record.id];
     target.record = record;
     target.token = token;
     target.updated_at = now;
@@ -79,8 +78,67 @@
     data_centres_.try_emplace(target.data_centre);
     target.warmup_ends_at =
         now + std::chrono::milliseconds(record.warmup_left_ms);
-    const auto [holder, added] = by_token_.emplace(token, record.id);
-    target.token_conflicts = !added && holder->second != record.id;
+    add_to_indexes(target);
+}
+
+// Packets of a former incarnation go to the present one, which resets them. An
+// upstream that has another service now must not get them.
+void upstream_pool::remember_former(
+    const member& former, const coordination::registered_upstream& record,
+    time_point now)
+{
+    if (former.record.service == record.service)
+    {
+        former_tokens_[former.token] = {record.id,
+                                        now + settings_.former_token_lifetime};
+    }
+}
+
+void upstream_pool::add_to_indexes(const member& added)
+{
+    by_service_[added.record.service].push_back(added.record.id);
+    by_token_[added.token].push_back(added.record.id);
+    resolve_token_conflicts(added.token);
+}
+
+void upstream_pool::remove_from_indexes(const member& removed)
+{
+    const auto service = by_service_.find(removed.record.service);
+    if (service != by_service_.end())
+    {
+        std::erase(service->second, removed.record.id);
+        if (service->second.empty())
+        {
+            by_service_.erase(service);
+        }
+    }
+    const auto token = by_token_.find(removed.token);
+    if (token == by_token_.end())
+    {
+        return;
+    }
+    std::erase(token->second, removed.record.id);
+    if (token->second.empty())
+    {
+        by_token_.erase(token);
+        return;
+    }
+    resolve_token_conflicts(removed.token);
+}
+
+void upstream_pool::resolve_token_conflicts(routing_token token)
+{
+    auto& holders = by_token_[token];
+    std::sort(holders.begin(), holders.end(),
+              [this](std::uint64_t left, std::uint64_t right)
+              {
+                  return std::pair(members_[left].record.incarnation, left) <
+                         std::pair(members_[right].record.incarnation, right);
+              });
+    for (const auto id : holders)
+    {
+        members_[id].token_conflicts = id != holders.front();
+    }
 }
 
 void upstream_pool::apply(const std::vector<state::planned_service>& services)
@@ -139,12 +197,12 @@
     bool any = false;
     for (const auto id : ids->second)
     {
-        const auto& candidate = members_.at(id);
-        if (!is_in_use(candidate))
+        const auto found = members_.find(id);
+        if (found == members_.end() || !is_in_use(found->second))
         {
             continue;
         }
-        if (!is_evacuated(candidate, now))
+        if (!is_evacuated(found->second, now))
         {
             return false;
         }
@@ -153,23 +211,34 @@
     return any;
 }
 
-upstream_pool::member* upstream_pool::find(std::uint64_t id)
+const upstream_pool::member* upstream_pool::find(std::uint64_t id) const
 {
     const auto found = members_.find(id);
     return found == members_.end() ? nullptr : &found->second;
 }
 
-upstream_pool::member* upstream_pool::find_by_token(routing_token token)
+upstream_pool::member* upstream_pool::find(std::uint64_t id)
+{
+    return const_cast<member*>(std::as_const(*this).find(id));
+}
+
+const upstream_pool::member*
+upstream_pool::find_by_token(routing_token token) const
 {
     if (const auto found = by_token_.find(token); found != by_token_.end())
     {
-        return find(found->second);
+        return find(found->second.front());
     }
     const auto former = former_tokens_.find(token);
     return former == former_tokens_.end() ? nullptr
                                           : find(former->second.upstream);
 }
 
+upstream_pool::member* upstream_pool::find_by_token(routing_token token)
+{
+    return const_cast<member*>(std::as_const(*this).find_by_token(token));
+}
+
 // During a backlog of packets, answers may not have been read yet, so silence
 // is measured from the last backlog at the earliest.
 bool upstream_pool::is_silent(const member& candidate, time_point now) const
@@ -193,7 +262,7 @@
     }
     for (const auto& [id, known] : members_)
     {
-        auto& centre = data_centres_.at(known.data_centre);
+        auto& centre = data_centres_[known.data_centre];
         const bool silent =
             is_silent(known, now) && known.silent_since > centre.last_answer;
         centre.silent_upstreams += silent ? 1 : 0;
@@ -222,8 +291,8 @@
     double total = candidate.open_flows;
     total += candidate.remote ? settings_.remote_penalty : 0.0;
     total += now < candidate.warmup_ends_at ? settings_.warmup_penalty : 0.0;
-    const auto& centre = data_centres_.at(candidate.data_centre);
-    if (now < centre.suspended_until)
+    const auto centre = data_centres_.find(candidate.data_centre);
+    if (centre != data_centres_.end() && now < centre->second.suspended_until)
     {
         return total + settings_.unreachable_penalty;
     }
@@ -247,20 +316,21 @@
     std::uint64_t best_score = 0;
     for (const auto id : ids->second)
     {
-        auto& candidate = members_.at(id);
-        if (!is_in_use(candidate) || is_evacuated(candidate, now))
+        auto* const candidate = find(id);
+        if (candidate == nullptr || !is_in_use(*candidate) ||
+            is_evacuated(*candidate, now))
         {
             continue;
         }
         ++candidates;
         const bool avoid =
             std::find(avoided.begin(), avoided.end(), id) != avoided.end();
-        const double total = cost(candidate, now) + (avoid ? avoided_cost : 0);
+        const double total = cost(*candidate, now) + (avoid ? avoided_cost : 0);
         const auto score = mix_hashes(flow_hash, id);
         if (best == nullptr || total < best_cost ||
             (total == best_cost && score > best_score))
         {
-            best = &candidate;
+            best = candidate;
             best_cost = total;
             best_score = score;
         }
@@ -276,7 +346,7 @@
     }
     target.unanswered.push_back(now);
     ++target.open_flows;
-    auto& centre = data_centres_.at(target.data_centre);
+    auto& centre = data_centres_[target.data_centre];
     if (centre.suspensions > 0 && now >= centre.suspended_until)
     {
         centre.suspended_until = now + settings_.probe_timeout;
@@ -298,7 +368,7 @@
     {
         target.silent_since = target.unanswered.front();
     }
-    auto& centre = data_centres_.at(target.data_centre);
+    auto& centre = data_centres_[target.data_centre];
     centre.last_answer = now;
     if (centre.suspensions > 0)
     {
@@ -336,26 +406,32 @@
     ++target.failures;
 }
 
+// Upstreams that were lost without a leave are gone for good after a time, too.
+bool upstream_pool::is_forgotten(const member& known, time_point now) const
+{
+    const bool absent =
+        known.record.condition == coordination::upstream_condition::gone ||
+        known.record.condition == coordination::upstream_condition::lost;
+    const bool absent_for_long =
+        absent && now - known.updated_at >= settings_.former_token_lifetime;
+    const bool unlisted_for_long =
+        known.unlisted &&
+        now - known.unlisted_since >= settings_.former_token_lifetime;
+    return absent_for_long || unlisted_for_long;
+}
+
 void upstream_pool::expire(time_point now)
 {
     std::erase_if(former_tokens_,
                   [now](const auto& each) { return now >= each.second.until; });
     for (auto it = members_.begin(); it != members_.end();)
     {
-        const auto& known = it->second;
-        const bool forgotten =
-            known.record.condition == coordination::upstream_condition::gone &&
-            now - known.updated_at >= settings_.former_token_lifetime;
-        if (!forgotten)
+        if (!is_forgotten(it->second, now))
         {
             ++it;
             continue;
         }
-        erase_from(by_service_[known.record.service], it->first);
-        if (!known.token_conflicts)
-        {
-            by_token_.erase(known.token);
-        }
+        remove_from_indexes(it->second);
         it = members_.erase(it);
     }
 }
--- a/src/traffic/upstream_pool.hpp
+++ b/src/traffic/upstream_pool.hpp
@@ -26,6 +26,7 @@
         bool remote{false};           ///< in another data centre
         bool token_conflicts{false};  ///< an earlier upstream has the token
         bool unlisted{false};         ///< missing from the last full update
+        time_point unlisted_since;
         time_point warmup_ends_at;
         time_point updated_at;       ///< its newest record
         std::uint32_t open_flows{0}; ///< flows open from this instance
@@ -59,9 +60,11 @@
 
     /// The upstream that a token names, or null.
     member* find_by_token(routing_token token);
+    const member* find_by_token(routing_token token) const;
 
     /// The upstream with this identity, or null.
     member* find(std::uint64_t id);
+    const member* find(std::uint64_t id) const;
 
     /// Returns the cheapest upstream of a service for a new flow, or null.
     /// Those in avoided are chosen only if there is no other. candidates
@@ -116,6 +119,13 @@
     bool is_evacuated(const member& candidate, time_point now) const;
     void apply_record(const coordination::registered_upstream& record,
                       time_point now);
+    void remember_former(const member& former,
+                         const coordination::registered_upstream& record,
+                         time_point now);
+    void add_to_indexes(const member& added);
+    void remove_from_indexes(const member& removed);
+    void resolve_token_conflicts(routing_token token);
+    bool is_forgotten(const member& known, time_point now) const;
     bool is_silent(const member& candidate, time_point now) const;
     void suspend_silent_data_centres(time_point now);
     void end_suspensions(std::uint64_t data_centre);
@@ -132,7 +142,9 @@
     /// per 1,000 s.
     std::map<std::string, std::uint32_t> warmup_rates_;
     std::map<std::string, std::vector<std::uint64_t>> by_service_;
-    std::unordered_map<routing_token, std::uint64_t> by_token_;
+    /// Upstreams with a token, the one that it names first. All entry instances
+    /// choose the one that started first, in whatever order they learn of them.
+    std::unordered_map<routing_token, std::vector<std::uint64_t>> by_token_;
     std::unordered_map<routing_token, former_token> former_tokens_;
 };
 
--- a/src/transport/http1_connection.cpp
+++ b/src/transport/http1_connection.cpp
@@ -103,6 +103,11 @@
         return;
     }
     watched_conditions_ = wanted;
+    if (wanted == readiness::none)
+    {
+        watch_.cancel();
+        return;
+    }
     watch_ = loop_.watch(fd_.value(), wanted,
                          [weak = weak_from_this()](readiness ready)
                          {
@@ -126,9 +131,27 @@
     if (fd_ && has(readiness::readable) && receive())
     {
         parse();
+        finish_input();
     }
 }
 
+// A peer that has closed its sending half may still wait for its response.
+void http1_connection::finish_input()
+{
+    if (!fd_ || !input_ended_)
+    {
+        return;
+    }
+    if (!is_busy())
+    {
+        close();
+        return;
+    }
+    keep_alive_ = false;
+    close_after_send_ = close_after_send_ || !handling_request_;
+    update_watch();
+}
+
 bool http1_connection::receive()
 {
     std::array<char, read_buffer_size> buffer;
@@ -158,6 +181,11 @@
         {
             return true;
         }
+        if (count == 0)
+        {
+            input_ended_ = true;
+            return true;
+        }
         close();
         return false;
     }
@@ -309,6 +337,17 @@
             });
         return;
     }
+    update_watch();
+}
+
+// After the end of the input the socket is always readable.
+void http1_connection::update_watch()
+{
+    if (input_ended_)
+    {
+        watch(unsent_.empty() ? readiness::none : readiness::writable);
+        return;
+    }
     watch(unsent_.empty() ? readiness::readable : readiness::both);
 }
 
--- a/src/transport/http1_connection.hpp
+++ b/src/transport/http1_connection.hpp
@@ -42,12 +42,14 @@
 
     void handle_ready(readiness ready);
     bool receive();
+    void finish_input();
     void parse();
     void dispatch();
     void send_error(int status, const std::string& message);
     void respond(std::uint64_t request, const http_response& response);
     void send(const http_response& response);
     void flush();
+    void update_watch();
     void watch(readiness wanted);
 
     main_loop& loop_;
@@ -67,6 +69,7 @@
     bool handling_request_{false};
     bool keep_alive_{true};
     bool close_after_send_{false}; ///< close when unsent_ is empty
+    bool input_ended_{false};      ///< the peer sends no more
 };
 
 } // namespace boragestand::transport
--- a/tests/tokens/token_router_test.cpp
+++ b/tests/tokens/token_router_test.cpp
@@ -541,4 +541,84 @@
     EXPECT_TRUE(is_reset());
 }
 
+// Guards against open flows that reach the upstream of a former flow between
+// the same ends: the caller uses its port again, and the new SYN passed another
+// instance, for example during a planned stop.
+TEST_F(token_router_test, does_not_take_a_new_flow_for_a_former_one)
+{
+    add({upstream(1, "desk"), upstream(2, "desk")});
+    const auto former = open(1);
+    const std::uint64_t next = former == 1 ? 2 : 1;
+    auto data = packet(1);
+    data.ack = true;
+    data.sequence = 0x50000000;
+    data.token = make_routing_token(next, 1000);
+    EXPECT_EQ(forwarded(data).upstream, next);
+    auto fin = packet(1);
+    fin.fin = true;
+    fin.token = make_routing_token(former, 1000);
+    EXPECT_EQ(forwarded(fin).upstream, former);
+    // Sequence numbers that are close by chance.
+    data.sequence = 8;
+    EXPECT_EQ(forwarded(data).upstream, next);
+}
+
+// Guards against a flow that is ended by its late answers: the token of the
+// second upstream that got its SYN must not move it, even while it closes.
+TEST_F(token_router_test, keeps_a_closing_flow_where_it_was)
+{
+    add({upstream(1, "desk"), upstream(2, "desk")});
+    const auto first = forwarded(syn(1));
+    now_ += 200ms;
+    const auto second = forwarded(syn(1));
+    auto opening = packet(1);
+    opening.token = second.token;
+    forwarded(opening);
+    auto fin = packet(1);
+    fin.fin = true;
+    fin.token = first.token;
+    EXPECT_EQ(forwarded(fin).upstream, second.upstream);
+    EXPECT_EQ(forwarded(fin).upstream, second.upstream);
+}
+
+// Guards against new flows of a former service, and a look-up that ends the
+// process, after an identity returned with another service.
+TEST_F(token_router_test, moves_an_identity_to_its_new_service)
+{
+    add({upstream(1, "desk"), upstream(2, "desk")});
+    const auto kept = open(1);
+    auto returned = upstream(kept, "maps", "a", 2000);
+    add({returned});
+    for (std::uint16_t port = 10; port < 20; ++port)
+    {
+        EXPECT_NE(forwarded(syn(port)).upstream, kept);
+        EXPECT_EQ(forwarded(syn(port, maps)).upstream, kept);
+    }
+    // Neither its former flows nor their tokens lead to the other service.
+    auto late = packet(1);
+    late.token = make_routing_token(kept, 1000);
+    EXPECT_EQ(dropped(late), token_drop_reason::unknown_token);
+    returned.sequence = 2;
+    returned.condition = coordination::upstream_condition::gone;
+    add({returned});
+    now_ += 61s;
+    router_.sweep(now_);
+    EXPECT_NE(forwarded(syn(30)).upstream, kept);
+    EXPECT_EQ(router_.upstream_count(), 1U);
+}
+
+// Guards against upstreams that crashed without a leave and cost memory for
+// ever.
+TEST_F(token_router_test, forgets_upstreams_that_stay_lost)
+{
+    add({upstream(1, "desk"), upstream(2, "desk")});
+    auto crashed = upstream(1, "desk");
+    crashed.condition = coordination::upstream_condition::lost;
+    add({crashed});
+    router_.apply({upstream(1, "desk")}, true, now_);
+    now_ += 61s;
+    router_.sweep(now_);
+    EXPECT_EQ(router_.upstream_count(), 0U);
+}
+
 } // namespace boragestand::traffic
--- a/tests/transport/http1_server_test.cpp
+++ b/tests/transport/http1_server_test.cpp
@@ -236,4 +236,20 @@
     run_until([&] { return server_->open_requests() == 0; });
 }
 
+// Guards against a response that is lost because its caller has closed the
+// sending half of its connection.
+TEST_F(http1_server_test, answers_a_caller_that_sends_no_more)
+{
+    respond_immediately_ = false;
+    listen();
+    const auto fd = connect();
+    send(fd.value(), "POST /order HTTP/1.1\r\ncontent-length: 0\r\n\r\n");
+    ::shutdown(fd.value(), SHUT_WR);
+    run_until([&] { return !responders_.empty(); });
+    const auto later = timers_.now() + 20ms;
+    run_until([&] { return timers_.now() >= later; });
+    responders_[0]({.status = 200, .headers = {}, .body = "done"});
+    EXPECT_NE(read_until(fd.value(), "done").find("done"), std::string::npos);
+}
+
 } // namespace boragestand::transport
