Select upstreams by joined load and start them slowly

A cold or recovered upstream was flooded or left idle, and nothing bounded the requests that a cold one gets in sum.

Change: entry instances measure requests in progress, answers and failures; control instances join the reports and send a picture each second. A slow start doubles or halves the share of a new or recovered upstream with each picture. Control instances grant the rate of cold upstreams to a few entry instances.

--- a/src/coordination/upstream_registry.cpp
+++ b/src/coordination/upstream_registry.cpp
@@ -32,6 +32,27 @@
                     record.incarnation, record.condition, record.slots);
 }
 
+// A record says how long its upstream stays cold. Differences below this are
+// due to the time that heartbeats take.
+constexpr duration cold_tolerance = std::chrono::milliseconds(500);
+
+// Whether the time at which an upstream turns warm has changed. An upstream can
+// turn cold without a restart.
+bool is_cold_anew(time_point known_warm_at, const registered_upstream& record,
+                  time_point now)
+{
+    const duration left = std::chrono::milliseconds(record.warmup_left_ms);
+    const auto warm_at = now + left;
+    const bool was_cold = now < known_warm_at;
+    const bool is_cold = left > duration(0);
+    if (!was_cold && !is_cold)
+    {
+        return false;
+    }
+    return warm_at > known_warm_at + cold_tolerance ||
+           warm_at + cold_tolerance < known_warm_at;
+}
+
 bool is_present(upstream_condition condition)
 {
     return condition == upstream_condition::ready ||
@@ -96,8 +117,11 @@
         return update_outcome::stale;
     }
     auto& target = records_[record.id];
-    const bool news =
-        found == records_.end() || has_new_content(target.record, record);
+    const auto warm_at = target.updated_at + std::chrono::milliseconds(
+                                                 target.record.warmup_left_ms);
+    const bool news = found == records_.end() ||
+                      has_new_content(target.record, record) ||
+                      is_cold_anew(warm_at, record, now);
     target.last_alive = now;
     if (!news)
     {
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -114,9 +114,16 @@
     , leaves_(timers, log,
               [this](std::uint64_t cursor)
               { return is_acknowledged_by_majority(cursor); })
+    , granter_(settings.warmup, timers.now())
     , started_(timers.now())
 {
     directory_.on_acknowledged([this] { leaves_.answer_acknowledged(); });
+    directory_.on_grants(
+        [this](const transport::endpoint& entry)
+        {
+            return granter_.grants_for(entry, directory_.recent_entries(),
+                                       timers_.now());
+        });
 }
 
 result<void> control_node::start()
@@ -171,6 +178,7 @@
 {
     update_member_clients();
     expire_upstreams(now);
+    directory_.load().expire(now);
     remove_silent_member(now);
     save_directory(now);
     const bool current = is_current();
@@ -219,11 +227,13 @@
 {
     auto client = std::make_unique<directory_client>(
         loop_, timers_, member,
-        directory_client::hooks{[this]
+        directory_client::hooks{[this, member]
                                 {
                                     coordination::directory_request request;
                                     request.from_replica = true;
                                     request.sender = settings_.address;
+                                    request.load = directory_.load().make_sum(
+                                        member, timers_.now());
                                     return request;
                                 },
                                 [this](const directory_update& update)
@@ -451,6 +461,7 @@
     if (outcome != coordination::update_outcome::stale)
     {
         registry_.record_direct_heartbeat(record.id, now);
+        granter_.observe(record, warmup_rate(record.service), now);
     }
     if (outcome == coordination::update_outcome::changed)
     {
@@ -465,6 +476,16 @@
     confirm_leave(record.id, record.sequence, std::move(callback));
 }
 
+std::uint32_t control_node::warmup_rate(const std::string& service) const
+{
+    const auto plan = newest_plan();
+    const auto found = std::find_if(
+        plan->services.begin(), plan->services.end(),
+        [&service](const auto& each) { return each.name == service; });
+    return found == plan->services.end() ? 0
+                                         : found->warmup_requests_per_1000_s;
+}
+
 void control_node::handle_leave(std::uint64_t upstream,
                                 std::optional<std::uint64_t> incarnation,
                                 done_callback callback)
@@ -608,6 +629,12 @@
                  "Entry instances that asked for the directory",
                  directory_.entry_count());
     append_evacuation_metrics(text);
+    append_gauge(text, "boragestand_load_reports",
+                 "Load reports of other instances in use",
+                 directory_.load().report_count());
+    append_gauge(text, "boragestand_cold_upstreams",
+                 "Cold upstreams with a rate that report here",
+                 granter_.size());
     submissions_.append_to(text, "boragestand_submission_seconds",
                            "From a plan to its acknowledgement");
     leaves_.answer_times().append_to(
--- a/src/fleet/control_node.hpp
+++ b/src/fleet/control_node.hpp
@@ -28,6 +28,7 @@
     bool may_found{false}; ///< a group, at the first start of the fleet
     /// All data centres; empty if they are not known.
     std::vector<std::string> data_centres;
+    coordination::warmup_granter_settings warmup;
     coordination::registry_settings registry;
     agreement::agreement_settings replication;
 };
@@ -123,6 +124,7 @@
     void record_ended_evacuations();
     std::vector<coordination::evacuation_notice> evacuations() const;
     void append_evacuation_metrics(std::string& text) const;
+    std::uint32_t warmup_rate(const std::string& service) const;
     void confirm_leave(std::uint64_t upstream, std::uint64_t sequence,
                        done_callback callback);
     bool is_acknowledged_by_majority(std::uint64_t cursor) const;
@@ -152,6 +154,7 @@
     std::map<transport::endpoint, std::unique_ptr<directory_client>>
         member_clients_;
     leave_confirmations leaves_;
+    coordination::warmup_granter granter_;
     std::unique_ptr<transport::http2_server> server_;
     transport::subscription ticks_;
     time_point started_;
--- a/src/fleet/directory_server.cpp
+++ b/src/fleet/directory_server.cpp
@@ -19,6 +19,7 @@
     , timers_(timers)
     , epoch_(epoch)
     , make_view_(std::move(make_view))
+    , load_(epoch)
 {
 }
 
@@ -31,6 +32,11 @@
         return tl::unexpected(wanted.error());
     }
     record_sender(*wanted);
+    const auto taken = take_load(*wanted);
+    if (!taken)
+    {
+        return taken;
+    }
     const auto now = make_view_();
     if (has_changes(*wanted, now))
     {
@@ -45,6 +51,18 @@
     return {};
 }
 
+result<void> directory_server::take_load(const directory_request& request)
+{
+    if (request.load.empty())
+    {
+        return {};
+    }
+    const auto now = timers_.now();
+    return request.from_replica
+               ? load_.take_control_sum(request.sender, request.load, now)
+               : load_.take_entry_report(request.sender, request.load, now);
+}
+
 void directory_server::record_sender(const directory_request& request)
 {
     if (!request.from_replica)
@@ -107,6 +125,11 @@
     if (!request.from_replica)
     {
         message.evacuations = now.evacuations;
+        message.load = load_.make_picture(request.sender, timers_.now());
+        if (make_grants_)
+        {
+            message.grants = make_grants_(request.sender);
+        }
     }
     if (request.from_replica)
     {
@@ -140,6 +163,20 @@
     return registry_.heartbeats_since(since);
 }
 
+std::vector<transport::endpoint> directory_server::recent_entries() const
+{
+    const auto now = timers_.now();
+    std::vector<transport::endpoint> recent;
+    for (const auto& [address, entry] : entries_)
+    {
+        if (now - entry.last_request <= directory_timeout)
+        {
+            recent.push_back(address);
+        }
+    }
+    return recent;
+}
+
 std::size_t directory_server::entry_count() const
 {
     return entry_count_with_evacuations(0);
--- a/src/fleet/directory_server.hpp
+++ b/src/fleet/directory_server.hpp
@@ -47,6 +47,22 @@
     /// The cursor that a control instance has acknowledged in this run.
     std::uint64_t acknowledged(const transport::endpoint& replica) const;
 
+    /// Load of upstreams as reported by entry and control instances.
+    coordination::load_exchange& load() { return load_; }
+    const coordination::load_exchange& load() const { return load_; }
+
+    /// Makes the grants of cold upstreams for an entry instance.
+    using grant_function =
+        std::function<std::vector<coordination::warmup_grant>(
+            const transport::endpoint& entry)>;
+    void on_grants(grant_function make_grants)
+    {
+        make_grants_ = std::move(make_grants);
+    }
+
+    /// Entry instances that asked within the last second.
+    std::vector<transport::endpoint> recent_entries() const;
+
     /// Called whenever a control instance acknowledges more.
     void on_acknowledged(std::function<void()> callback)
     {
@@ -75,6 +91,7 @@
 
     bool has_changes(const coordination::directory_request& request,
                      const view& now) const;
+    result<void> take_load(const coordination::directory_request& request);
     void record_sender(const coordination::directory_request& request);
     std::vector<coordination::upstream_refresh>
     take_refreshes(const transport::endpoint& replica);
@@ -87,6 +104,8 @@
     std::uint64_t epoch_;
     std::function<view()> make_view_;
     std::function<void()> acknowledged_callback_;
+    grant_function make_grants_;
+    coordination::load_exchange load_;
     std::map<std::uint64_t, waiting_request> waiting_;
     std::uint64_t next_waiting_{1};
     std::map<transport::endpoint, std::uint64_t> acknowledged_;
--- a/src/fleet/entry_node.cpp
+++ b/src/fleet/entry_node.cpp
@@ -13,6 +13,36 @@
 
 constexpr duration sweep_interval = std::chrono::milliseconds(200);
 
+// A report covers at least this time: the packets of a second show how busy an
+// upstream is, and a report has up to 1,500 bytes.
+constexpr duration load_report_interval = std::chrono::seconds(1);
+
+void append_load_metrics(std::string& text,
+                         const traffic::load_summary& summary)
+{
+    constexpr double percent = 100.0;
+    append_gauge(
+        text, "boragestand_load_age_milliseconds",
+        "Age of the joined load in use",
+        static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(summary.age)
+                .count()));
+    append_gauge(text, "boragestand_load_usable",
+                 "1 if upstreams are selected by joined load",
+                 summary.usable ? 1 : 0);
+    append_gauge(text, "boragestand_upstreams_suspected",
+                 "Upstreams that get less for slow or missing answers",
+                 summary.suspected);
+    append_gauge(text, "boragestand_upstreams_recovering",
+                 "Upstreams in slow start", summary.recovering);
+    append_gauge(text, "boragestand_upstream_use_mean_percent",
+                 "Requests in progress for each slot, in hundredths",
+                 static_cast<std::uint64_t>(percent * summary.mean_use));
+    append_gauge(text, "boragestand_upstream_use_max_percent",
+                 "The same of the busiest upstream",
+                 static_cast<std::uint64_t>(percent * summary.max_use));
+}
+
 } // namespace
 
 entry_node::entry_node(transport::main_loop& loop,
@@ -41,9 +71,42 @@
     request.sender = settings_.address;
     request.plan_version = router_.plan_version();
     request.evacuation_index = coordination::newest_index(evacuations_);
+    request.load = make_load_report(timers_.now());
     return request;
 }
 
+std::string entry_node::make_load_report(time_point now)
+{
+    const bool due =
+        !load_reported_ || now - *load_reported_ >= load_report_interval;
+    if (!settings_.router.joins_load || !due)
+    {
+        return {};
+    }
+    load_reported_ = now;
+    // The start distinguishes this run from an earlier one at the address.
+    const auto run =
+        static_cast<std::uint64_t>(started_.time_since_epoch().count());
+    return coordination::encode_evidence(
+        {run, ++load_sequence_, router_.take_evidence(now)});
+}
+
+void entry_node::apply_load(const std::string& picture,
+                            const transport::endpoint& source)
+{
+    if (picture.empty() || !settings_.router.joins_load)
+    {
+        return;
+    }
+    const auto decoded = coordination::decode_evidence(picture);
+    if (!decoded)
+    {
+        log_.bad_input("load", decoded.error(), source, timers_.now());
+        return;
+    }
+    router_.apply(*decoded, timers_.now());
+}
+
 void entry_node::apply_evacuations(
     const std::vector<coordination::evacuation_notice>& received,
     const transport::endpoint& source)
@@ -70,6 +133,8 @@
     apply_evacuations(reply.evacuations, source);
     const bool complete = update.scope == reply_scope::whole && reply.current;
     router_.apply(reply.upstreams, complete, timers_.now());
+    router_.apply(reply.grants, timers_.now());
+    apply_load(reply.load, source);
     const auto former = router_.plan_version();
     if (reply.plan && router_.apply(*reply.plan))
     {
@@ -147,6 +212,10 @@
     {
         coordination::append_evacuations(text, evacuations_);
     }
+    if (settings_.router.joins_load)
+    {
+        append_load_metrics(text, router_.load_summary_at(now));
+    }
     const auto age = directory_age(now).value_or(now - started_);
     append_gauge(text, "boragestand_directory_age_milliseconds",
                  "Time since a control instance replied",
--- a/src/fleet/entry_node.hpp
+++ b/src/fleet/entry_node.hpp
@@ -74,6 +74,9 @@
     coordination::directory_request make_request();
     void apply_update(const directory_update& update,
                       const transport::endpoint& source);
+    std::string make_load_report(time_point now);
+    void apply_load(const std::string& picture,
+                    const transport::endpoint& source);
     void apply_evacuations(
         const std::vector<coordination::evacuation_notice>& received,
         const transport::endpoint& source);
@@ -87,6 +90,8 @@
     std::function<void()> first_plan_callback_;
     transport::subscription sweep_;
     time_point started_;
+    std::optional<time_point> load_reported_;
+    std::uint64_t load_sequence_{0};
 };
 
 } // namespace boragestand::fleet
--- a/src/traffic/token_router.cpp
+++ b/src/traffic/token_router.cpp
@@ -12,6 +12,16 @@
 // flow; flows of callers carry far less than 16 MiB.
 constexpr std::uint32_t max_flow_bytes = 16 * 1024 * 1024;
 
+// An instance that was behind with its packets does not judge upstreams by SYNs
+// sent within this time: the pause before a caller repeats one.
+constexpr duration backlog_memory = std::chrono::milliseconds(200);
+
+std::uint32_t to_percent(double share)
+{
+    constexpr double percent = 100.0;
+    return static_cast<std::uint32_t>(percent * share);
+}
+
 std::uint64_t to_integer(const transport::endpoint& value)
 {
     return std::uint64_t{value.address} << 16 | value.port;
@@ -65,7 +75,7 @@
 }
 
 token_router::token_router(const token_router_settings& settings)
-    : settings_(settings), pool_(settings)
+    : settings_(settings), pool_(settings, tracker_)
 {
 }
 
@@ -175,6 +185,7 @@
     {
         if (record != nullptr)
         {
+            end_request(*record, now);
             stop_counting(*record);
             flows_.erase(packet.flow);
         }
@@ -200,6 +211,11 @@
     {
         ++counters_.unanswered;
         pool_.record_unanswered_syn(*upstream, record.last_syn, now);
+        // While this instance is behind, answers may wait to be read.
+        if (now - last_backlog_ >= backlog_memory)
+        {
+            tracker_.add_unanswered(record.token);
+        }
     }
     stop_counting(record);
     record.tried_upstreams.push_back(record.upstream);
@@ -240,16 +256,20 @@
     const auto hash = mix_hashes(flow_hash{}(packet.flow), packet.sequence);
     std::uint32_t candidates = 0;
     const auto& service = select_service(route->second, hash);
-    auto* upstream =
-        pool_.choose(service, record.tried_upstreams, hash, now, candidates);
+    selection basis;
+    auto* upstream = pool_.choose(service, record.tried_upstreams, hash, now,
+                                  candidates, basis);
     if (upstream == nullptr)
     {
         return refuse(service, now);
     }
-    const forward_packet decision{
-        upstream->record.id,  upstream->record.address,
-        upstream->token,      reason,
-        upstream->open_flows, candidates};
+    forward_packet decision{upstream->record.id,  upstream->record.address,
+                            upstream->token,      reason,
+                            upstream->open_flows, candidates};
+    decision.by_joined_load = basis.basis == selection_basis::joined_load;
+    decision.busy_percent = to_percent(basis.busy);
+    decision.failing_percent = to_percent(basis.failing);
+    decision.share_percent = to_percent(basis.share);
     ++(reason == forward_reason::placed ? counters_.placed
                                         : counters_.placed_anew);
     if (flows_.size() < settings_.max_flows || flows_.contains(packet.flow))
@@ -306,9 +326,11 @@
     {
         complete_handshake(packet, *record, now);
     }
+    follow_request(packet, *record, now);
     const auto* upstream = pool_.find(record->upstream);
     if (packet.fin || packet.rst)
     {
+        end_request(*record, now);
         if (record->phase == flow_phase::open)
         {
             lifetimes_.add(now - record->last_syn);
@@ -344,6 +366,20 @@
     record.phase = flow_phase::open;
 }
 
+void token_router::follow_request(const token_packet& packet,
+                                  flow_record& record, time_point now)
+{
+    if (settings_.joins_load && record.phase == flow_phase::open)
+    {
+        tracker_.follow(record.request, record.token, packet, now);
+    }
+}
+
+void token_router::end_request(flow_record& record, time_point now)
+{
+    tracker_.end(record.request, record.token, now);
+}
+
 void token_router::stop_counting(flow_record& record)
 {
     if (!record.counted_as_open)
@@ -365,6 +401,7 @@
     {
         auto& record = it->second;
         const auto silent = now - record.last_packet;
+        tracker_.check(record.request, record.token, now);
         if (record.phase == flow_phase::opening &&
             silent >= settings_.handshake_timeout)
         {
@@ -379,7 +416,13 @@
         const auto lifetime = record.phase == flow_phase::ended
                                   ? settings_.idle_limit
                                   : settings_.flow_lifetime;
-        it = silent >= lifetime ? flows_.erase(it) : std::next(it);
+        if (silent < lifetime)
+        {
+            ++it;
+            continue;
+        }
+        end_request(record, now);
+        it = flows_.erase(it);
     }
     pool_.expire(now);
 }
--- a/src/traffic/token_router.hpp
+++ b/src/traffic/token_router.hpp
@@ -34,6 +34,30 @@
     /// newer than the one in force.
     bool apply(const state::routing_plan& plan);
 
+    /// Applies grants of cold upstreams.
+    void apply(const std::vector<coordination::warmup_grant>& grants,
+               time_point now)
+    {
+        pool_.apply(grants, now);
+    }
+
+    /// Applies a picture of the load over all entry instances.
+    void apply(const coordination::evidence_report& picture, time_point now)
+    {
+        pool_.apply(picture, now);
+    }
+
+    /// What this instance has measured of upstreams since the last call.
+    std::vector<coordination::upstream_evidence> take_evidence(time_point now)
+    {
+        return tracker_.take(now);
+    }
+
+    load_summary load_summary_at(time_point now) const
+    {
+        return pool_.load_summary_at(now);
+    }
+
     /// Applies an evacuation or its end.
     void apply(const coordination::evacuation_notice& notice, time_point now)
     {
@@ -48,7 +72,11 @@
 
     /// Reports that many packets wait to be read: answers to SYNs that seem
     /// unanswered may be among them.
-    void report_backlog(time_point now) { pool_.report_backlog(now); }
+    void report_backlog(time_point now)
+    {
+        last_backlog_ = now;
+        pool_.report_backlog(now);
+    }
 
     /// Removes records of ended and idle flows; to be called a few times a
     /// second.
@@ -86,6 +114,7 @@
         time_point last_syn;         ///< the last SYN
         time_point last_packet;      ///< the last packet
         std::vector<std::uint64_t> tried_upstreams;
+        request_progress request;
     };
 
     struct flow_hash
@@ -113,12 +142,17 @@
     void complete_handshake(const token_packet& packet, flow_record& record,
                             time_point now);
     void abandon_attempt(flow_record& record, time_point now);
+    void follow_request(const token_packet& packet, flow_record& record,
+                        time_point now);
+    void end_request(flow_record& record, time_point now);
     void stop_counting(flow_record& record);
     const std::string& select_service(const route_target& target,
                                       std::uint64_t hash) const;
 
     token_router_settings settings_;
+    load_tracker tracker_;
     upstream_pool pool_;
+    time_point last_backlog_{};
     std::unordered_map<token_flow, flow_record, flow_hash> flows_;
     std::map<transport::endpoint, route_target> routes_;
     std::uint64_t plan_version_{0};
--- a/src/traffic/token_router_types.hpp
+++ b/src/traffic/token_router_types.hpp
@@ -71,6 +71,13 @@
     /// before this one, and the number of upstreams that were eligible.
     std::uint32_t open_flows{0};
     std::uint32_t candidates{0};
+    /// Only of a placement by joined load: requests in progress at the upstream
+    /// over all entry instances, the share of them without an answer and the
+    /// share of its slow start, in hundredths.
+    bool by_joined_load{false};
+    std::uint32_t busy_percent{0};
+    std::uint32_t failing_percent{0};
+    std::uint32_t share_percent{0};
 
     auto operator<=>(const forward_packet&) const = default;
 };
@@ -153,6 +160,21 @@
     duration evacuation_return_delay{std::chrono::milliseconds(1800)};
     /// Callers for whom there is no upstream may be reset.
     bool may_refuse{false};
+    /// Upstreams are selected by the load over all entry instances.
+    bool joins_load{false};
+};
+
+/// What an entry instance knows of the load over all instances, for metrics.
+struct load_summary
+{
+    duration age{0};
+    bool usable{false};
+    double mean_use{0}; ///< requests in progress for each slot
+    double max_use{0};
+    std::size_t suspected{0};
+    std::size_t recovering{0};
+
+    auto operator<=>(const load_summary&) const = default;
 };
 
 /// Counters since the start.
--- /dev/null
+++ b/src/traffic/upstream_load.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "traffic/token_router_types.hpp"
+
+#include <optional>
+#include <unordered_map>
+
+namespace boragestand::traffic
+{
+
+/// Load and health of one upstream over all entry instances.
+struct joined_load
+{
+    double busy{0};    ///< requests in progress on average
+    double answers{0}; ///< in a report, on average
+    double answer_ms{0};
+    double failing{0}; ///< share of the requests without an answer
+
+    auto operator<=>(const joined_load&) const = default;
+};
+
+/// An entry instance's view of the load of all upstreams, from the pictures
+/// that control instances join. Each picture counts as much as all before it
+/// together, so that a change shows within two of them. A view that gets no
+/// more pictures is of no use after max_age and then says so.
+class upstream_load
+{
+public:
+    static constexpr duration max_age = std::chrono::seconds(3);
+
+    /// Takes a picture.
+    void apply(const coordination::evidence_report& picture, time_point now);
+
+    /// Time since the last picture; none before the first.
+    std::optional<duration> age(time_point now) const;
+
+    /// Whether a picture is recent enough to be used.
+    bool is_usable(time_point now) const;
+
+    /// Load of an upstream; zeros if nothing is known of it.
+    joined_load of(routing_token upstream) const;
+
+    /// Load of an upstream of which something is known, or null.
+    const joined_load* find(routing_token upstream) const;
+
+private:
+    std::unordered_map<routing_token, joined_load> loads_;
+    std::optional<time_point> updated_;
+    std::uint64_t writer_{0};
+    std::uint64_t sequence_{0};
+};
+
+} // namespace boragestand::traffic
--- a/src/traffic/upstream_pool.cpp
+++ b/src/traffic/upstream_pool.cpp
@@ -11,8 +11,9 @@
 namespace
 {
 
-// Added cost of an upstream that is chosen only if there is no other.
-constexpr double avoided_cost = 10000.0;
+// Unanswered SYNs in a row after which an answer means a recovery; a single one
+// can be a lost packet.
+constexpr std::uint32_t failures_of_suspension = 2;
 
 // A control instance that lags behind can send outdated records.
 bool is_older(const coordination::registered_upstream& record,
@@ -55,9 +56,12 @@
 {
     const auto token = make_routing_token(record.id, record.incarnation);
     const auto found = members_.find(record.id);
+    bool was_lost = false;
     if (found != members_.end())
     {
         auto& known = found->second;
+        was_lost =
+            known.record.condition == coordination::upstream_condition::lost;
         if (is_older(record, known.record))
         {
             return;
@@ -79,6 +83,12 @@
     target.warmup_ends_at =
         now + std::chrono::milliseconds(record.warmup_left_ms);
     add_to_indexes(target);
+    const bool returns =
+        was_lost && record.condition == coordination::upstream_condition::ready;
+    if (settings_.joins_load && (record.warmup_left_ms > 0 || returns))
+    {
+        pace_.begin(token, now);
+    }
 }
 
 // Packets of a former incarnation go to the present one, which resets them. An
@@ -286,13 +296,26 @@
                               settings_.longest_suspension);
 }
 
+bool upstream_pool::is_data_centre_suspended(const member& candidate,
+                                             time_point now) const
+{
+    const auto centre = data_centres_.find(candidate.data_centre);
+    return centre != data_centres_.end() &&
+           now < centre->second.suspended_until;
+}
+
+bool upstream_pool::is_suspect(const member& candidate, time_point now) const
+{
+    return is_data_centre_suspended(candidate, now) ||
+           is_silent(candidate, now);
+}
+
 double upstream_pool::cost(const member& candidate, time_point now) const
 {
     double total = candidate.open_flows;
     total += candidate.remote ? settings_.remote_penalty : 0.0;
     total += now < candidate.warmup_ends_at ? settings_.warmup_penalty : 0.0;
-    const auto centre = data_centres_.find(candidate.data_centre);
-    if (centre != data_centres_.end() && now < centre->second.suspended_until)
+    if (is_data_centre_suspended(candidate, now))
     {
         return total + settings_.unreachable_penalty;
     }
@@ -300,42 +323,168 @@
                                      : total;
 }
 
-upstream_pool::member* upstream_pool::choose(
-    const std::string& service, const std::vector<std::uint64_t>& avoided,
-    std::uint64_t flow_hash, time_point now, std::uint32_t& candidates)
+bool upstream_pool::has_rate_limit(const member& candidate,
+                                   time_point now) const
+{
+    return now < candidate.warmup_ends_at &&
+           warmup_rates_.contains(candidate.record.service);
+}
+
+// A cold upstream with a rate gets flows only from instances with a grant.
+bool upstream_pool::may_take(const member& candidate, time_point now)
+{
+    if (!has_rate_limit(candidate, now))
+    {
+        return true;
+    }
+    const auto grant = grants_.find(candidate.record.id);
+    return grant != grants_.end() && now < grant->second.until &&
+           grant->second.incarnation == candidate.record.incarnation &&
+           grant->second.requests.available(now) >= 1.0;
+}
+
+void upstream_pool::apply(const std::vector<coordination::warmup_grant>& grants,
+                          time_point now)
+{
+    for (const auto& grant : grants)
+    {
+        constexpr double thousand = 1000.0;
+        const auto until = now + std::chrono::milliseconds(grant.lifetime_ms);
+        const auto held = grants_.find(grant.upstream);
+        // A renewal must not fill the bucket again.
+        if (held != grants_.end() &&
+            held->second.incarnation == grant.incarnation)
+        {
+            held->second.until = until;
+            continue;
+        }
+        grants_.insert_or_assign(
+            grant.upstream,
+            held_grant{
+                grant.incarnation,
+                token_bucket(grant.requests_per_1000_s / thousand, grant.burst),
+                until});
+    }
+}
+
+void upstream_pool::apply(const coordination::evidence_report& picture,
+                          time_point now)
+{
+    load_.apply(picture, now);
+    for (const auto& [service, members] : by_service_)
+    {
+        step_slow_starts(members, now);
+    }
+}
+
+void upstream_pool::step_slow_starts(const std::vector<std::uint64_t>& members,
+                                     time_point now)
+{
+    std::vector<routing_token> tokens;
+    for (const auto id : members)
+    {
+        if (const auto* known = find(id))
+        {
+            tokens.push_back(known->token);
+        }
+    }
+    const double usual_ms = usual_answer_ms(load_, pace_, tokens);
+    for (const auto token : tokens)
+    {
+        pace_.step(token, load_.of(token), usual_ms, now);
+    }
+}
+
+load_summary upstream_pool::load_summary_at(time_point now) const
+{
+    load_summary summary;
+    summary.age = load_.age(now).value_or(duration(0));
+    summary.usable = load_.is_usable(now);
+    summary.recovering = pace_.size();
+    double busy = 0;
+    double slots = 0;
+    for (const auto& [id, known] : members_)
+    {
+        if (!is_in_use(known))
+        {
+            continue;
+        }
+        const auto load = load_.of(known.token);
+        const double own_slots = std::max<std::uint32_t>(known.record.slots, 1);
+        busy += load.busy;
+        slots += own_slots;
+        summary.max_use = std::max(summary.max_use, load.busy / own_slots);
+        summary.suspected += quality_of(load, 0) < suspect_quality ? 1 : 0;
+    }
+    summary.mean_use = slots > 0 ? busy / slots : 0;
+    return summary;
+}
+
+selection_policy upstream_pool::policy(time_point now) const
+{
+    if (settings_.joins_load && load_.is_usable(now))
+    {
+        return select_by_joined_load{&load_, &pace_};
+    }
+    return select_by_own_flows{};
+}
+
+std::vector<selection_candidate>
+upstream_pool::find_candidates(const std::string& service,
+                               const std::vector<std::uint64_t>& avoided,
+                               time_point now)
 {
-    candidates = 0;
+    std::vector<selection_candidate> found;
     const auto ids = by_service_.find(service);
     if (ids == by_service_.end())
     {
-        return nullptr;
+        return found;
     }
-    suspend_silent_data_centres(now);
-    member* best = nullptr;
-    double best_cost = 0.0;
-    std::uint64_t best_score = 0;
     for (const auto id : ids->second)
     {
-        auto* const candidate = find(id);
-        if (candidate == nullptr || !is_in_use(*candidate) ||
-            is_evacuated(*candidate, now))
+        const auto* const known = find(id);
+        if (known == nullptr || !is_in_use(*known) ||
+            is_evacuated(*known, now) || !may_take(*known, now))
         {
             continue;
         }
-        ++candidates;
-        const bool avoid =
+        selection_candidate candidate;
+        candidate.id = id;
+        candidate.token = known->token;
+        candidate.slots = known->record.slots;
+        candidate.cost = cost(*known, now);
+        candidate.in_progress = tracker_.in_progress(known->token);
+        candidate.remote = known->remote;
+        candidate.suspect = is_suspect(*known, now);
+        candidate.avoided =
             std::find(avoided.begin(), avoided.end(), id) != avoided.end();
-        const double total = cost(*candidate, now) + (avoid ? avoided_cost : 0);
-        const auto score = mix_hashes(flow_hash, id);
-        if (best == nullptr || total < best_cost ||
-            (total == best_cost && score > best_score))
-        {
-            best = candidate;
-            best_cost = total;
-            best_score = score;
-        }
+        found.push_back(candidate);
+    }
+    return found;
+}
+
+upstream_pool::member*
+upstream_pool::choose(const std::string& service,
+                      const std::vector<std::uint64_t>& avoided,
+                      std::uint64_t flow_hash, time_point now,
+                      std::uint32_t& candidates, selection& basis)
+{
+    suspend_silent_data_centres(now);
+    const auto found = find_candidates(service, avoided, now);
+    candidates = static_cast<std::uint32_t>(found.size());
+    const auto selected = select_upstream(policy(now), found, flow_hash);
+    if (!selected)
+    {
+        return nullptr;
     }
-    return best;
+    basis = *selected;
+    auto* const chosen = find(found[selected->index].id);
+    const auto grant = grants_.find(chosen->record.id);
+    if (has_rate_limit(*chosen, now) && grant != grants_.end())
+    {
+        grant->second.requests.take(1.0, now);
+    }
+    return chosen;
 }
 
 void upstream_pool::record_syn(member& target, time_point now)
@@ -362,6 +511,11 @@
     {
         target.unanswered.erase(found);
     }
+    const bool was_suspended = target.failures >= failures_of_suspension;
+    if (settings_.joins_load && was_suspended)
+    {
+        pace_.begin(target.token, now);
+    }
     target.failures = 0;
     target.suspended_until = {};
     if (!target.unanswered.empty())
@@ -432,6 +586,8 @@
             continue;
         }
         remove_from_indexes(it->second);
+        grants_.erase(it->first);
+        pace_.forget(it->second.token);
         it = members_.erase(it);
     }
 }
--- a/src/traffic/upstream_pool.hpp
+++ b/src/traffic/upstream_pool.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
-#include "traffic/token_router_types.hpp"
+#include "base/token_bucket.hpp"
+#include "traffic/load_tracker.hpp"
+#include "traffic/upstream_selection.hpp"
 
 #include <deque>
 #include <map>
@@ -37,8 +39,10 @@
         time_point suspended_until;
     };
 
-    explicit upstream_pool(const token_router_settings& settings)
-        : settings_(settings)
+    /// tracker counts the requests of this instance; it must outlive the pool.
+    upstream_pool(const token_router_settings& settings,
+                  const load_tracker& tracker)
+        : settings_(settings), tracker_(tracker)
     {
     }
 
@@ -50,6 +54,15 @@
     /// Applies the services of a plan.
     void apply(const std::vector<state::planned_service>& services);
 
+    /// Applies grants, which permit new flows to cold upstreams with a rate.
+    void apply(const std::vector<coordination::warmup_grant>& grants,
+               time_point now);
+
+    /// Applies a picture of the load over all entry instances.
+    void apply(const coordination::evidence_report& picture, time_point now);
+
+    load_summary load_summary_at(time_point now) const;
+
     /// Applies an evacuation or its end. Upstreams of an evacuated data centre
     /// get no new flows.
     void apply(const coordination::evacuation_notice& notice, time_point now);
@@ -66,13 +79,14 @@
     member* find(std::uint64_t id);
     const member* find(std::uint64_t id) const;
 
-    /// Returns the cheapest upstream of a service for a new flow, or null.
-    /// Those in avoided are chosen only if there is no other. candidates
-    /// receives the number of eligible upstreams.
+    /// Selects an upstream of a service for a new flow, or null. Those in
+    /// avoided are chosen only if there is no other. candidates receives the
+    /// number of eligible upstreams, basis the reason. A cold upstream with a
+    /// rate is charged with the flow.
     member* choose(const std::string& service,
                    const std::vector<std::uint64_t>& avoided,
                    std::uint64_t flow_hash, time_point now,
-                   std::uint32_t& candidates);
+                   std::uint32_t& candidates, selection& basis);
 
     /// Reports that many packets, possibly answers, wait to be read.
     void report_backlog(time_point now) { last_backlog_ = now; }
@@ -115,7 +129,23 @@
         time_point returns_at; ///< upstreams with a rate stay out until then
     };
 
+    /// Permission to send new flows to a cold upstream.
+    struct held_grant
+    {
+        std::uint64_t incarnation{0};
+        token_bucket requests;
+        time_point until;
+    };
+
     bool is_in_use(const member& candidate) const;
+    bool has_rate_limit(const member& candidate, time_point now) const;
+    bool may_take(const member& candidate, time_point now);
+    selection_policy policy(time_point now) const;
+    std::vector<selection_candidate>
+    find_candidates(const std::string& service,
+                    const std::vector<std::uint64_t>& avoided, time_point now);
+    void step_slow_starts(const std::vector<std::uint64_t>& members,
+                          time_point now);
     bool is_evacuated(const member& candidate, time_point now) const;
     void apply_record(const coordination::registered_upstream& record,
                       time_point now);
@@ -127,6 +157,9 @@
     void resolve_token_conflicts(routing_token token);
     bool is_forgotten(const member& known, time_point now) const;
     bool is_silent(const member& candidate, time_point now) const;
+    bool is_data_centre_suspended(const member& candidate,
+                                  time_point now) const;
+    bool is_suspect(const member& candidate, time_point now) const;
     void suspend_silent_data_centres(time_point now);
     void end_suspensions(std::uint64_t data_centre);
     duration backoff(std::uint32_t failures) const;
@@ -141,6 +174,10 @@
     /// Services that limit the requests of cold upstreams, with the requests
     /// per 1,000 s.
     std::map<std::string, std::uint32_t> warmup_rates_;
+    std::map<std::uint64_t, held_grant> grants_; ///< by upstream
+    const load_tracker& tracker_;
+    upstream_load load_;
+    recovery_pace pace_;
     std::map<std::string, std::vector<std::uint64_t>> by_service_;
     /// Upstreams with a token, the one that it names first. All entry instances
     /// choose the one that started first, in whatever order they learn of them.
--- a/tests/tokens/upstream_index_property_test.cpp
+++ b/tests/tokens/upstream_index_property_test.cpp
@@ -75,7 +75,8 @@
         }
     }
     std::uint32_t candidates = 0;
-    const auto* chosen = pool.choose(service, {}, 1, now, candidates);
+    selection basis;
+    const auto* chosen = pool.choose(service, {}, 1, now, candidates, basis);
     RC_ASSERT(candidates == expected.size());
     RC_ASSERT((chosen == nullptr) == expected.empty());
     RC_ASSERT(chosen == nullptr || expected.contains(chosen->record.id));
@@ -101,7 +102,8 @@
 // service, token or identity.
 RC_GTEST_PROP(upstream_pool, keeps_its_indexes_consistent, ())
 {
-    upstream_pool pool{token_router_settings{}};
+    const load_tracker tracker;
+    upstream_pool pool(token_router_settings{}, tracker);
     naive_pool model;
     time_point now{1h};
     const auto records = *rc::gen::container<std::vector<registered_upstream>>(
