--- a/src/traffic/link_admission.cpp
+++ b/src/traffic/link_admission.cpp
@@ -25,7 +25,7 @@
 constexpr double smallest_bulk_part = 0.2;
 
 // A caller may hold this many times its equal part of a full link.
-constexpr double caller_factor = 2.0;
+constexpr double caller_factor = 1.5;
 
 // Callers are compared once new flows would take more than this part of their
 // time.
--- a/tests/transport/http1_server_test.cpp
+++ b/tests/transport/http1_server_test.cpp
@@ -164,8 +164,8 @@
     EXPECT_EQ(server_->counters().timeouts, 1U);
 }
 
-// Guards against use of a connection that was closed before its response was
-// ready.
+// Guards against use of a connection that was reset before its response was
+// ready, and against one that stays open for a caller that is gone.
 TEST_F(http1_server_test, ignores_answers_to_closed_connections)
 {
     respond_immediately_ = false;
@@ -174,11 +174,32 @@
         const auto fd = connect();
         send(fd.value(), "GET / HTTP/1.1\r\nhost: a\r\n\r\n");
         run_until([this] { return !responders_.empty(); });
+        constexpr linger at_once{.l_onoff = 1, .l_linger = 0};
+        ::setsockopt(fd.value(), SOL_SOCKET, SO_LINGER, &at_once,
+                     sizeof at_once);
     }
     run_until([this] { return server_->open_requests() == 0; });
     responders_[0]({});
 }
 
+// Guards against use of a connection whose caller has closed it, which looks
+// like one that only sends no more until the response is sent.
+TEST_F(http1_server_test, frees_a_connection_that_its_caller_has_closed)
+{
+    respond_immediately_ = false;
+    listen();
+    {
+        const auto fd = connect();
+        send(fd.value(), "GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+        run_until([this] { return !responders_.empty(); });
+    }
+    const auto later = timers_.now() + 20ms;
+    run_until([&] { return timers_.now() >= later; });
+    responders_[0]({});
+    run_until([this] { return server_->open_requests() == 0; });
+    responders_[0]({});
+}
+
 // Guards against idle connections that use up the connection limit, so that new
 // ones are rejected.
 TEST_F(http1_server_test, closes_the_oldest_idle_connection_for_a_new_one)
