Lower the gain of the selection by joined load

Cause: pictures are one to two seconds old.

Change: all slots in use is the most that counts; joined load no longer decides between the two that were drawn; demand spills over a wider range; slowness counts squared.

--- a/src/traffic/upstream_selection.cpp
+++ b/src/traffic/upstream_selection.cpp
@@ -22,14 +22,19 @@
 // How fast the weight of an upstream falls with its use. Pictures are one to
 // two seconds old: a steeper fall makes all instances send to the same
 // upstreams and swing from one picture to the next.
-constexpr double steepness = 1.5;
+constexpr double steepness = 1.0;
+
+// Requests that wait count like those that run, so an upstream with a queue
+// seems far busier than it is. More than all slots in use is not told apart.
+constexpr double full_use = 1.0;
 
 // Upstreams of other data centres get flows once the own ones are used more
 // than this, and more than the others by the margin.
-constexpr double spill_use = 0.6;
+constexpr double spill_use = 0.5;
 constexpr double spill_margin = 0.1;
-// Beyond the limit by this much, no data centre is preferred any more.
-constexpr double spill_range = 0.3;
+// Beyond the limit by this much, no data centre is preferred any more. A
+// smaller range would move so much demand at a time that it swings back.
+constexpr double spill_range = 1.0;
 
 // Cold upstreams get more than their share once warm ones are used more.
 constexpr double warm_use_limit = 0.8;
@@ -53,6 +58,11 @@
     double weight{0};
 };
 
+double slots_of(const selection_candidate& candidate)
+{
+    return std::max<std::uint32_t>(candidate.slots, 1);
+}
+
 /// The next of a sequence of numbers from 0 to 1.
 class hash_sequence
 {
@@ -119,7 +129,7 @@
         each.load = policy.load->of(candidate.token);
         const double busy =
             std::max<double>(each.load.busy, candidate.in_progress);
-        each.use = busy / std::max<std::uint32_t>(candidate.slots, 1);
+        each.use = std::min(busy / slots_of(candidate), full_use);
         each.quality = quality_of(each.load, usual_ms);
         if (candidate.suspect)
         {
@@ -161,8 +171,8 @@
     double cold_slots = 0;
     for (const auto& each : assessed)
     {
-        const double slots = candidates[each.index].slots;
-        busy += each.load.busy;
+        const double slots = slots_of(candidates[each.index]);
+        busy += each.use * slots;
         (each.share < 1.0 ? cold_slots : warm_slots) += slots;
     }
     if (cold_slots == 0)
@@ -190,8 +200,8 @@
 {
     if (!is_suspect(each))
     {
-        group.busy += each.load.busy;
-        group.slots += candidate.slots * each.share;
+        group.busy += each.use * slots_of(candidate);
+        group.slots += slots_of(candidate) * each.share;
     }
 }
 
@@ -240,13 +250,13 @@
     return last;
 }
 
-// Of two that were drawn, the one that looks better to this instance.
-double score(const weighted_candidate& each,
-             const selection_candidate& candidate)
+// Of two that were drawn, the one that looks better to this instance now. The
+// joined load is in their weights already; here it would make all instances
+// choose alike.
+double score(const selection_candidate& candidate)
 {
-    const double own = static_cast<double>(candidate.in_progress) /
-                       std::max<std::uint32_t>(candidate.slots, 1);
-    return each.use + own + (candidate.suspect ? suspect_score : 0.0) +
+    return candidate.in_progress / slots_of(candidate) +
+           (candidate.suspect ? suspect_score : 0.0) +
            (candidate.avoided ? avoided_score : 0.0);
 }
 
@@ -269,9 +279,10 @@
         const auto& candidate = candidates[each.index];
         const bool excluded =
             (candidate.avoided && !all_avoided) || (stays && candidate.remote);
-        each.weight = excluded ? 0.0
-                               : candidate.slots * each.quality * each.share *
-                                     std::exp(-steepness * each.use);
+        each.weight = excluded
+                          ? 0.0
+                          : slots_of(candidate) * each.quality * each.share *
+                                std::exp(-steepness * each.use);
         total += each.weight;
     }
     if (total <= 0 && stays)
@@ -290,10 +301,10 @@
     {
         return std::nullopt;
     }
-    const auto* const best = score(*second, candidates[second->index]) <
-                                     score(*first, candidates[first->index])
-                                 ? second
-                                 : first;
+    const auto* const best =
+        score(candidates[second->index]) < score(candidates[first->index])
+            ? second
+            : first;
     return selection{best->index, selection_basis::joined_load, best->load.busy,
                      best->load.failing, best->share};
 }
@@ -336,7 +347,9 @@
     const bool known_speed = usual_ms > 0 && load.answers >= min_answers;
     if (known_speed && load.answer_ms > normal_slowness * usual_ms)
     {
-        quality *= normal_slowness * usual_ms / load.answer_ms;
+        // Squared, since its callers wait longer beside its lower capacity.
+        const double speed = normal_slowness * usual_ms / load.answer_ms;
+        quality *= speed * speed;
     }
     return std::max(quality, smallest_quality);
 }
