Take waiting out of the speed of upstreams

Cause: an upstream with a queue was taken for slow, since its answers include the wait.

Change: the service time is the answer time divided by the requests in progress for each slot where they exceed one.

--- a/src/traffic/recovery_pace.cpp
+++ b/src/traffic/recovery_pace.cpp
@@ -15,10 +15,11 @@
 
 } // namespace
 
-void recovery_pace::step(routing_token upstream, const joined_load& load,
-                         double usual_ms, time_point now)
+void recovery_pace::step(const loaded_upstream& upstream,
+                         const joined_load& load, double usual_ms,
+                         time_point now)
 {
-    const auto found = recovering_.find(upstream);
+    const auto found = recovering_.find(upstream.token);
     if (found == recovering_.end())
     {
         return;
@@ -26,8 +27,8 @@
     auto& [share, started] = found->second;
     const bool failing = load.failing > failing_limit;
     const bool answers = load.answers >= min_answers;
-    const bool slow =
-        answers && usual_ms > 0 && load.answer_ms > slow_limit * usual_ms;
+    const bool slow = answers && usual_ms > 0 &&
+                      service_ms(load, upstream.slots) > slow_limit * usual_ms;
     if (failing || slow)
     {
         share = std::max(share / factor, smallest_share);
--- a/src/traffic/recovery_pace.hpp
+++ b/src/traffic/recovery_pace.hpp
@@ -21,7 +21,7 @@
     static constexpr double first_share = 0.25;
     static constexpr double smallest_share = 0.125;
 
-    /// Answers may take this many times as long as those of warm upstreams.
+    /// Service may take this many times as long as at warm upstreams.
     static constexpr double slow_limit = 1.5;
 
     /// More of the requests without an answer halve the share.
@@ -36,10 +36,10 @@
         recovering_[upstream] = {first_share, now};
     }
 
-    /// Takes a new picture. usual_ms is the usual time of answers of warm
+    /// Takes a new picture. usual_ms is the usual service time of warm
     /// upstreams of its service; 0 if it is not known.
-    void step(routing_token upstream, const joined_load& load, double usual_ms,
-              time_point now);
+    void step(const loaded_upstream& upstream, const joined_load& load,
+              double usual_ms, time_point now);
 
     /// Whether the upstream recovers.
     bool is_recovering(routing_token upstream) const
--- a/src/traffic/upstream_load.cpp
+++ b/src/traffic/upstream_load.cpp
@@ -33,6 +33,12 @@
 
 } // namespace
 
+double service_ms(const joined_load& load, std::uint32_t slots)
+{
+    const double queue = load.busy / std::max<std::uint32_t>(slots, 1);
+    return load.answer_ms / std::max(queue, 1.0);
+}
+
 void upstream_load::apply(const coordination::evidence_report& picture,
                           time_point now)
 {
--- a/src/traffic/upstream_load.hpp
+++ b/src/traffic/upstream_load.hpp
@@ -19,6 +19,21 @@
     auto operator<=>(const joined_load&) const = default;
 };
 
+/// An upstream as far as its load is compared with that of others.
+struct loaded_upstream
+{
+    routing_token token{0};
+    std::uint32_t slots{1};
+
+    auto operator<=>(const loaded_upstream&) const = default;
+};
+
+/// Time that an upstream works on a request, in ms. Answers take longer while
+/// requests wait for its slots; by Little's law the wait makes up for the
+/// requests in progress beyond the slots. Otherwise each upstream with a queue
+/// would be taken for slow.
+double service_ms(const joined_load& load, std::uint32_t slots);
+
 /// An entry instance's view of the load of all upstreams, from the pictures
 /// that control instances join. Each picture counts as much as all before it
 /// together, so that a change shows within two of them. A view that gets no
--- a/src/traffic/upstream_pool.cpp
+++ b/src/traffic/upstream_pool.cpp
@@ -380,18 +380,18 @@
 void upstream_pool::step_slow_starts(const std::vector<std::uint64_t>& members,
                                      time_point now)
 {
-    std::vector<routing_token> tokens;
+    std::vector<loaded_upstream> upstreams;
     for (const auto id : members)
     {
         if (const auto* known = find(id))
         {
-            tokens.push_back(known->token);
+            upstreams.push_back({known->token, known->record.slots});
         }
     }
-    const double usual_ms = usual_answer_ms(load_, pace_, tokens);
-    for (const auto token : tokens)
+    const double usual_ms = usual_service_ms(load_, pace_, upstreams);
+    for (const auto& upstream : upstreams)
     {
-        pace_.step(token, load_.of(token), usual_ms, now);
+        pace_.step(upstream, load_.of(upstream.token), usual_ms, now);
     }
 }
 
@@ -414,7 +414,8 @@
         busy += load.busy;
         slots += own_slots;
         summary.max_use = std::max(summary.max_use, load.busy / own_slots);
-        summary.suspected += quality_of(load, 0) < suspect_quality ? 1 : 0;
+        summary.suspected +=
+            quality_of(load, known.record.slots, 0) < suspect_quality ? 1 : 0;
     }
     summary.mean_use = slots > 0 ? busy / slots : 0;
     return summary;
--- a/src/traffic/upstream_selection.cpp
+++ b/src/traffic/upstream_selection.cpp
@@ -114,12 +114,13 @@
 assess(const select_by_joined_load& policy,
        std::span<const selection_candidate> candidates)
 {
-    std::vector<routing_token> tokens;
+    std::vector<loaded_upstream> upstreams;
     for (const auto& each : candidates)
     {
-        tokens.push_back(each.token);
+        upstreams.push_back({each.token, each.slots});
     }
-    const double usual_ms = usual_answer_ms(*policy.load, *policy.pace, tokens);
+    const double usual_ms =
+        usual_service_ms(*policy.load, *policy.pace, upstreams);
     std::vector<weighted_candidate> assessed;
     for (std::size_t index = 0; index < candidates.size(); ++index)
     {
@@ -130,7 +131,7 @@
         const double busy =
             std::max<double>(each.load.busy, candidate.in_progress);
         each.use = std::min(busy / slots_of(candidate), full_use);
-        each.quality = quality_of(each.load, usual_ms);
+        each.quality = quality_of(each.load, candidate.slots, usual_ms);
         if (candidate.suspect)
         {
             each.quality = smallest_quality;
@@ -316,18 +317,18 @@
     return basis == selection_basis::own_flows ? "own_flows" : "joined_load";
 }
 
-double usual_answer_ms(const upstream_load& load, const recovery_pace& pace,
-                       std::span<const routing_token> upstreams)
+double usual_service_ms(const upstream_load& load, const recovery_pace& pace,
+                        std::span<const loaded_upstream> upstreams)
 {
     std::vector<double> times;
-    for (const auto token : upstreams)
+    for (const auto& [token, slots] : upstreams)
     {
         const auto* const known = load.find(token);
         const bool counts = known != nullptr && known->answers >= min_answers &&
                             !pace.is_recovering(token);
         if (counts)
         {
-            times.push_back(known->answer_ms);
+            times.push_back(service_ms(*known, slots));
         }
     }
     if (times.empty())
@@ -340,15 +341,16 @@
     return *middle;
 }
 
-double quality_of(const joined_load& load, double usual_ms)
+double quality_of(const joined_load& load, std::uint32_t slots, double usual_ms)
 {
     const double answering = 1.0 - load.failing;
     double quality = answering * answering;
+    const double own_ms = service_ms(load, slots);
     const bool known_speed = usual_ms > 0 && load.answers >= min_answers;
-    if (known_speed && load.answer_ms > normal_slowness * usual_ms)
+    if (known_speed && own_ms > normal_slowness * usual_ms)
     {
         // Squared, since its callers wait longer beside its lower capacity.
-        const double speed = normal_slowness * usual_ms / load.answer_ms;
+        const double speed = normal_slowness * usual_ms / own_ms;
         quality *= speed * speed;
     }
     return std::max(quality, smallest_quality);
--- a/src/traffic/upstream_selection.hpp
+++ b/src/traffic/upstream_selection.hpp
@@ -72,13 +72,14 @@
                 std::span<const selection_candidate> candidates,
                 std::uint64_t flow_hash);
 
-/// Middle time of answers of upstreams that are not recovering, in ms; 0 if
-/// there are none.
-double usual_answer_ms(const upstream_load& load, const recovery_pace& pace,
-                       std::span<const routing_token> upstreams);
+/// Median service time of upstreams that are not recovering, in ms; 0 if there
+/// are none.
+double usual_service_ms(const upstream_load& load, const recovery_pace& pace,
+                        std::span<const loaded_upstream> upstreams);
 
 /// How much of its part an upstream gets by its health and speed, from 0 to 1.
-double quality_of(const joined_load& load, double usual_ms);
+double quality_of(const joined_load& load, std::uint32_t slots,
+                  double usual_ms);
 
 /// Upstreams with less quality than this are suspects.
 constexpr double suspect_quality = 0.5;
--- a/tests/tokens/load_replay.cpp
+++ b/tests/tokens/load_replay.cpp
@@ -131,15 +131,15 @@
 
     void step_slow_starts(time_point now)
     {
-        std::vector<routing_token> tokens;
+        std::vector<loaded_upstream> upstreams;
         for (std::size_t i = 0; i < load_.upstreams.size(); ++i)
         {
-            tokens.push_back(token(i));
+            upstreams.push_back({token(i), slots});
         }
-        const double usual = usual_answer_ms(load_view_, pace_, tokens);
-        for (const auto each : tokens)
+        const double usual = usual_service_ms(load_view_, pace_, upstreams);
+        for (const auto& each : upstreams)
         {
-            pace_.step(each, load_view_.of(each), usual, now);
+            pace_.step(each, load_view_.of(each.token), usual, now);
         }
     }
 
--- a/tests/tokens/slow_start_test.cpp
+++ b/tests/tokens/slow_start_test.cpp
@@ -29,7 +29,7 @@
     std::vector<double> seen;
     for (int i = 1; i <= pictures; ++i)
     {
-        pace.step(upstream, load, usual_ms, start + i * 1s);
+        pace.step({upstream, 2}, load, usual_ms, start + i * 1s);
         seen.push_back(pace.share(upstream));
     }
     return seen;
