Remember the speed of an upstream that gets few requests

Cause: a slow upstream got so few requests that its speed counted as unknown, and then its whole share again.

Change: the speed that it showed last counts.

--- a/src/traffic/upstream_selection.cpp
+++ b/src/traffic/upstream_selection.cpp
@@ -16,7 +16,7 @@
 // of requests varies.
 constexpr double normal_slowness = 1.5;
 
-// Fewer answers in a picture say nothing about the speed of an upstream.
+// Fewer answers in a picture say little about the usual speed of a service.
 constexpr double min_answers = 3.0;
 
 // How fast the weight of an upstream falls with its use. Pictures are one to
@@ -346,8 +346,8 @@
     const double answering = 1.0 - load.failing;
     double quality = answering * answering;
     const double own_ms = service_ms(load, slots);
-    const bool known_speed = usual_ms > 0 && load.answers >= min_answers;
-    if (known_speed && own_ms > normal_slowness * usual_ms)
+    // A slow upstream gets few requests, so the speed that it showed last counts.
+    if (usual_ms > 0 && own_ms > normal_slowness * usual_ms)
     {
         // Squared, since its callers wait longer beside its lower capacity.
         const double speed = normal_slowness * usual_ms / own_ms;
