End requests whose upstream has restarted

Cause: the record of a flow was removed without the request that ran in it, so the former incarnation was reported as busy for ever.

Change: the request ends with its record. A router cannot be copied, since its pool refers to its tracker.

Result: a test that fails without the change.

--- a/src/traffic/token_router.cpp
+++ b/src/traffic/token_router.cpp
@@ -128,7 +128,8 @@
 
 // A record whose upstream was removed or has restarted is useless and removed,
 // too.
-token_router::flow_record* token_router::find_flow(const token_flow& flow)
+token_router::flow_record* token_router::find_flow(const token_flow& flow,
+                                                   time_point now)
 {
     const auto found = flows_.find(flow);
     if (found == flows_.end())
@@ -140,6 +141,7 @@
     {
         return &found->second;
     }
+    end_request(found->second, now);
     flows_.erase(found);
     return nullptr;
 }
@@ -180,7 +182,7 @@
 token_decision token_router::open_flow(const token_packet& packet,
                                        time_point now)
 {
-    auto* record = find_flow(packet.flow);
+    auto* record = find_flow(packet.flow, now);
     if (record == nullptr || record->sequence != packet.sequence)
     {
         if (record != nullptr)
@@ -316,7 +318,7 @@
 token_decision token_router::continue_flow(const token_packet& packet,
                                            time_point now)
 {
-    auto* record = find_flow(packet.flow);
+    auto* record = find_flow(packet.flow, now);
     if (record == nullptr || !belongs_to(packet, *record))
     {
         return forward_by_token(packet);
--- a/src/traffic/token_router.hpp
+++ b/src/traffic/token_router.hpp
@@ -20,6 +20,10 @@
 public:
     explicit token_router(const token_router_settings& settings);
 
+    // The pool refers to the tracker.
+    token_router(const token_router&) = delete;
+    token_router& operator=(const token_router&) = delete;
+
     /// Returns what to do with one packet.
     token_decision decide(const token_packet& packet, time_point now);
 
@@ -128,7 +132,7 @@
         std::uint64_t total_weight{0};
     };
 
-    flow_record* find_flow(const token_flow& flow);
+    flow_record* find_flow(const token_flow& flow, time_point now);
     bool belongs_to(const token_packet& packet,
                     const flow_record& record) const;
     void assign(flow_record& record, const upstream_pool::member& upstream);
--- a/tests/tokens/token_router_test.cpp
+++ b/tests/tokens/token_router_test.cpp
@@ -621,4 +621,27 @@
     EXPECT_EQ(router_.upstream_count(), 0U);
 }
 
+// Guards against a request that counts as load for ever because its upstream
+// has restarted before it answered.
+TEST_F(token_router_test, ends_requests_of_a_former_incarnation)
+{
+    auto joining = settings();
+    joining.joins_load = true;
+    token_router router(joining);
+    router.apply(plan(1));
+    router.apply({upstream(1, "desk")}, false, now_);
+    router.decide(syn(1), now_);
+    auto request = packet(1);
+    request.ack = true;
+    request.sequence = 8;
+    request.data_size = 500;
+    router.decide(request, now_);
+    router.apply({upstream(1, "desk", "a", 2000)}, false, now_);
+    router.decide(syn(1), now_);
+    now_ += 1s;
+    EXPECT_FALSE(router.take_evidence(now_).empty());
+    now_ += 1s;
+    EXPECT_TRUE(router.take_evidence(now_).empty());
+}
+
 } // namespace boragestand::traffic
