Report all faults and oddities of a plan at once

check_plan() named only the first fault, so an operator found several faults by as many attempts. find_plan_errors() lists all of them and check_plan() takes its first; find_plan_oddities() and compare_plans() name entries without effect and what a change means for open flows.

--- a/src/state/routing_plan.cpp
+++ b/src/state/routing_plan.cpp
@@ -1,9 +1,8 @@
 #include "state/routing_plan.hpp"
 
+#include "state/plan_check.hpp"
 #include "state/routing_plan_fields.hpp"
 
-#include <set>
-
 namespace boragestand::state
 {
 
@@ -20,40 +19,6 @@
     return std::as_bytes(std::span(text.data(), text.size()));
 }
 
-tl::unexpected<error> invalid_plan(std::string message)
-{
-    return failure(error_kind::invalid_argument, std::move(message));
-}
-
-result<void> check_route(const service_route& route,
-                         const std::set<std::string_view>& services)
-{
-    const std::string name = "route \"" + route.name + "\"";
-    if (route.timeout_ms == 0)
-    {
-        return invalid_plan(name + " has a timeout of 0");
-    }
-    if (route.services.empty())
-    {
-        return invalid_plan(name + " names no service");
-    }
-    std::uint64_t weights = 0;
-    for (const auto& each : route.services)
-    {
-        if (!services.contains(each.service))
-        {
-            return invalid_plan(name + " names the unknown service \"" +
-                                each.service + "\"");
-        }
-        weights += each.weight;
-    }
-    if (weights == 0)
-    {
-        return invalid_plan(name + " has no service with a weight above 0");
-    }
-    return {};
-}
-
 } // namespace
 
 std::string_view to_text(request_kind kind)
@@ -76,33 +41,10 @@
 
 result<void> check_plan(const routing_plan& plan)
 {
-    if (plan.version == 0)
-    {
-        return invalid_plan("the version must be above 0");
-    }
-    std::set<std::string_view> services;
-    for (const auto& each : plan.services)
-    {
-        if (!services.insert(each.name).second)
-        {
-            return invalid_plan("service \"" + each.name +
-                                "\" is defined twice");
-        }
-    }
-    std::set<transport::endpoint> addresses;
-    for (const auto& route : plan.routes)
+    const auto errors = find_plan_errors(plan);
+    if (!errors.empty())
     {
-        const auto checked = check_route(route, services);
-        if (!checked)
-        {
-            return checked;
-        }
-        if (!addresses.insert(route.address).second)
-        {
-            return invalid_plan("route \"" + route.name +
-                                "\" repeats the address " +
-                                transport::to_string(route.address));
-        }
+        return failure(error_kind::invalid_argument, to_string(errors.front()));
     }
     return {};
 }
--- a/src/state/state.hpp
+++ b/src/state/state.hpp
@@ -19,6 +19,8 @@
 #include "state/hard_state_store.hpp"
 #include "state/note_application.hpp"
 #include "state/pin_table.hpp"
+#include "state/plan_check.hpp"
+#include "state/plan_comparison.hpp"
 #include "state/release_note.hpp"
 #include "state/routing_plan.hpp"
 #include "state/snapshot_store.hpp"
