--- a/tests/tokens/token_router_test.cpp
+++ b/tests/tokens/token_router_test.cpp
@@ -219,6 +219,25 @@
     EXPECT_EQ(forwarded(next).upstream, chosen);
 }
 
+// Guards against open flows that end with their route, which the check of a
+// configuration says does not happen.
+TEST_F(token_router_test, keeps_open_flows_of_a_removed_route)
+{
+    add({upstream(1, "desk")});
+    const auto opened = forwarded(syn(40001));
+    auto without_desk = plan(2);
+    without_desk.routes.erase(without_desk.routes.begin());
+    without_desk.services.erase(without_desk.services.begin());
+    router_.apply(without_desk);
+    router_.confirm_plan(now_);
+    EXPECT_EQ(forwarded(packet(40001)).upstream, opened.upstream);
+    auto elsewhere = packet(40002);
+    elsewhere.token = opened.token;
+    EXPECT_EQ(forwarded(elsewhere).upstream, opened.upstream);
+    EXPECT_TRUE(
+        std::holds_alternative<reset_caller>(router_.decide(syn(40003), now_)));
+}
+
 // Guards against imbalance: each new flow goes where fewest are open.
 TEST_F(token_router_test, spreads_open_flows_evenly)
 {
