--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -6,7 +6,7 @@
     g++ cmake ninja-build pkg-config ccache clang-format clang-tidy
     libglib2.0-dev libnghttp2-dev libboost-dev libboost-program-options-dev
     liblog4cplus-dev libexpected-dev libyaml-cpp-dev libmsgpack-cxx-dev
-    libtins-dev libxxhash-dev librapidcheck-dev libgtest-dev libgmock-dev
+    libtins-dev libxxhash-dev libzstd-dev librapidcheck-dev libgtest-dev libgmock-dev
     libbenchmark-dev nlohmann-json3-dev python3 curl iproute2
 )
 
--- a/src/state/fleet_command.cpp
+++ b/src/state/fleet_command.cpp
@@ -8,7 +8,8 @@
 namespace
 {
 
-// MessagePack never uses this byte, so no encoded plan begins with it.
+// MessagePack never uses this byte and compressed plans begin with another one,
+// so no encoded plan begins with it.
 constexpr char tagged = '\xc1';
 constexpr char order_tag = 'e';
 constexpr char state_tag = 's';
--- a/src/state/fleet_command.hpp
+++ b/src/state/fleet_command.hpp
@@ -20,8 +20,7 @@
     auto operator<=>(const fleet_state&) const = default;
 };
 
-/// Encodes a command. A plan is encoded as by encode_plan(), so that logs with
-/// plans alone are readable by earlier versions.
+/// Encodes a command. A plan is encoded as by encode_plan().
 std::string encode_command(const fleet_command& command);
 
 /// Encodes the state; without evacuations like the plan alone.
--- a/src/state/routing_plan.cpp
+++ b/src/state/routing_plan.cpp
@@ -1,5 +1,6 @@
 #include "state/routing_plan.hpp"
 
+#include "state/compression.hpp"
 #include "state/plan_check.hpp"
 #include "state/routing_plan_fields.hpp"
 
@@ -51,7 +52,7 @@
 
 std::string encode_plan(const submitted_plan& plan)
 {
-    return to_string(codec::encode(plan));
+    return compress(to_string(codec::encode(plan)));
 }
 
 std::string encode_plan(const routing_plan& plan)
@@ -61,8 +62,16 @@
 
 result<submitted_plan> decode_submitted_plan(std::string_view bytes)
 {
-    return codec::decode<submitted_plan>(
-        to_bytes(bytes), protocol::max_agreement_message_size, "plan");
+    const auto decode = [](std::string_view plain)
+    {
+        return codec::decode<submitted_plan>(
+            to_bytes(plain), protocol::max_agreement_message_size, "plan");
+    };
+    // Plans of versions before compression start with an array header.
+    return is_compressed(bytes)
+               ? decompress(bytes, protocol::max_agreement_message_size)
+                     .and_then(decode)
+               : decode(bytes);
 }
 
 result<routing_plan> decode_plan(std::string_view bytes)
--- a/src/state/routing_plan.hpp
+++ b/src/state/routing_plan.hpp
@@ -89,11 +89,14 @@
 /// weights above 0. error_kind::invalid_argument names the first fault.
 result<void> check_plan(const routing_plan& plan);
 
-/// Encodes a plan with msgpack.
+/// Encodes a plan with msgpack. A submitted plan, which is kept in the log and
+/// in snapshots, is compressed; a plan for an entry instance is not, so that
+/// instances of the previous version can read it.
 std::string encode_plan(const submitted_plan& plan);
 std::string encode_plan(const routing_plan& plan);
 
-/// Decodes what encode_plan() wrote; error_kind::malformed_message otherwise.
+/// Decodes what encode_plan() wrote, compressed or not;
+/// error_kind::malformed_message otherwise. Never throws.
 result<submitted_plan> decode_submitted_plan(std::string_view bytes);
 result<routing_plan> decode_plan(std::string_view bytes);
 
--- a/tests/state/routing_plan_test.cpp
+++ b/tests/state/routing_plan_test.cpp
@@ -1,3 +1,5 @@
+#include "state/compression.hpp"
+#include "state/routing_plan_fields.hpp"
 #include "state/state.hpp"
 
 #include <gtest/gtest.h>
@@ -112,6 +114,68 @@
     EXPECT_FALSE(decode_submitted_plan(""));
 }
 
+// Guards against a log that fills the disk because plans are stored as long as
+// they are, and against a tag of fleet_command.cpp that a plan begins with.
+TEST(plan_encoding, compresses_documents)
+{
+    std::string document;
+    for (int route = 0; route < 1400; ++route)
+    {
+        document += R"({"name":"route)" + std::to_string(route) +
+                    R"(","services":[{"service":"desk","weight":1}]},)";
+    }
+    const auto text = encode_plan(make_plan(9, document));
+    EXPECT_LT(text.size(), document.size() / 5);
+    EXPECT_NE(text[0], '\xc1');
+    EXPECT_EQ(decode_submitted_plan(text)->document, document);
+}
+
+// Guards against a control instance that cannot read its log after an update
+// from the version that did not compress plans.
+TEST(plan_encoding, reads_uncompressed_plans_of_the_previous_version)
+{
+    const auto value = make_plan(9, "the document");
+    const auto bytes = codec::encode(value);
+    const auto decoded = decode_submitted_plan(
+        {reinterpret_cast<const char*>(bytes.data()), bytes.size()});
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(*decoded, value);
+}
+
+// Guards against damaged or truncated data that is read as another plan, read
+// out of bounds, or ends the process by an exception.
+TEST(plan_encoding, refuses_damaged_compressed_plans)
+{
+    const auto text = encode_plan(make_plan(9, std::string(3000, 'x')));
+    for (std::size_t at = 0; at < text.size(); ++at)
+    {
+        SCOPED_TRACE(at);
+        auto damaged = text;
+        damaged[at] = static_cast<char>(damaged[at] ^ 0x41);
+        EXPECT_FALSE(decode_submitted_plan(damaged));
+        EXPECT_FALSE(decode_submitted_plan(text.substr(0, at)));
+    }
+    EXPECT_FALSE(decode_submitted_plan(text + "x"));
+    EXPECT_FALSE(decode_submitted_plan(text + text));
+}
+
+// Guards against a few bytes that make an instance allocate gigabytes.
+TEST(plan_encoding, bounds_the_size_of_what_it_decompresses)
+{
+    const std::string plain(5000, 'x');
+    const auto bytes = compress(plain);
+    EXPECT_EQ(decompress(bytes, 5000), plain);
+    EXPECT_EQ(decompress(bytes, 4999).error().kind,
+              error_kind::malformed_message);
+    const auto large =
+        compress(std::string(protocol::max_agreement_message_size + 1, 'x'));
+    EXPECT_LT(large.size(), 4096U);
+    EXPECT_FALSE(decode_submitted_plan(large));
+    // A frame header that states 2^62 bytes.
+    const std::string header("\x28\xb5\x2f\xfd\xe0\0\0\0\0\0\0\0\x40", 13);
+    EXPECT_FALSE(decode_submitted_plan(header));
+}
+
 // Guards against a replica that ends because another one, of a newer version,
 // has stored a kind that it does not know.
 TEST(plan_encoding, reads_kinds_of_a_newer_version_as_unknown)
