Bound the log by bytes and survive a full disk

The log was truncated every 1,000 entries whatever their size, a start held up to four copies of it, and a write that found no room ended the process.

Recovery hands entries over by moves. A new error kind, storage_full, stands for ENOSPC and EDQUOT of writes. The replica then drops the rest of the step, so that nothing is acknowledged and no vote is sent, and restarts from its disk as a follower. Before that point, plans are refused while less than the reserve is free; small commands and votes still find room.

Ruled out: a node that stays ahead of its disk and tracks what is durable, and a replica that is suspended until there is room, which loses contact with the leader. A failed sync still ends the process.

--- a/src/agreement/agreement_core.cpp
+++ b/src/agreement/agreement_core.cpp
@@ -1,6 +1,7 @@
 #include "agreement/agreement_core.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace boragestand::agreement
 {
@@ -10,10 +11,15 @@
     : settings_(settings)
     , hard_state_(start.hard)
     , address_(start.address)
-    , log_(std::move(start.snapshot), start.entries)
-    , commit_index_(log_.snapshot()->last.index)
+    , seed_(start.seed)
+    , log_(std::move(start.snapshot), std::move(start.entries))
+    , commit_index_(std::max(log_.snapshot()->last.index,
+                             std::min(start.applied, log_.last().index)))
+    , committed_bytes_(
+          log_.bytes_between(log_.snapshot()->last.index + 1, commit_index_))
 {
-    // The program restores its state machine from the same snapshot.
+    // The program restores its state machine from the same snapshot, or keeps
+    // the one that holds the entries up to start.applied.
 }
 
 void agreement_core::set_term_and_vote(std::uint64_t term, replica_id vote)
@@ -31,9 +37,8 @@
                                            std::string data)
 {
     const auto index = log_.last().index + 1;
-    const protocol::log_entry entry{index, term(), kind, std::move(data)};
-    log_.append({entry});
-    unsaved_entries_.push_back(entry);
+    unsaved_entries_.push_back({index, term(), kind, std::move(data)});
+    log_.append({unsaved_entries_.back()});
     return index;
 }
 
@@ -68,6 +73,7 @@
     {
         ++commit_index_;
         add_effect(apply_entry{log_.at(commit_index_)});
+        committed_bytes_ += log_.bytes_between(commit_index_, commit_index_);
     }
     request_snapshot_if_due();
 }
@@ -76,9 +82,11 @@
 {
     const auto newest =
         std::max(requested_snapshot_, log_.snapshot()->last.index);
-    if (commit_index_ >= newest + settings_.snapshot_interval)
+    if (commit_index_ >= newest + settings_.snapshot_interval ||
+        committed_bytes_ >= settings_.snapshot_interval_bytes)
     {
         requested_snapshot_ = commit_index_;
+        committed_bytes_ = 0;
         add_effect(snapshot_requested{commit_index_});
     }
 }
@@ -87,6 +95,7 @@
 {
     log_.install(std::move(snapshot));
     commit_index_ = log_.snapshot()->last.index;
+    committed_bytes_ = 0;
     unsaved_entries_.clear();
     unsaved_snapshot_ = persist_snapshot{log_.snapshot(), true};
     add_effect(restore_snapshot{log_.snapshot()});
--- a/src/agreement/agreement_core.hpp
+++ b/src/agreement/agreement_core.hpp
@@ -18,6 +18,7 @@
     replica_id self() const { return hard_state_.self; }
     std::uint64_t term() const { return hard_state_.term; }
     replica_id vote() const { return hard_state_.vote; }
+    std::uint64_t seed() const { return seed_; }
     const agreement_log& log() const { return log_; }
     std::uint64_t commit_index() const { return commit_index_; }
 
@@ -65,9 +66,12 @@
     agreement_settings settings_;
     state::hard_state hard_state_;
     transport::endpoint address_;
+    std::uint64_t seed_;
     agreement_log log_;
     std::uint64_t commit_index_{0};
     std::uint64_t requested_snapshot_{0};
+    /// Of committed entries after the newest snapshot, taken or requested.
+    std::uint64_t committed_bytes_{0};
 
     bool hard_state_changed_{false};
     std::vector<protocol::log_entry> unsaved_entries_;
--- a/src/agreement/agreement_events.hpp
+++ b/src/agreement/agreement_events.hpp
@@ -45,6 +45,9 @@
     std::size_t max_append_bytes{512 * 1024};
     std::size_t chunk_size{256 * 1024};    ///< of a snapshot transfer
     std::uint64_t snapshot_interval{1000}; ///< entries between snapshots
+    /// Bytes of committed entries between snapshots; a snapshot is due when
+    /// either interval is reached.
+    std::uint64_t snapshot_interval_bytes{8 * 1024 * 1024};
     std::size_t max_pending_proposals{1024};
     agreement_faults faults; ///< for tests only
 };
@@ -58,6 +61,9 @@
     std::vector<protocol::log_entry> entries;
     transport::endpoint address; ///< own HTTP/2 address
     std::uint64_t seed{0};       ///< of the election timeouts
+    /// Index of the last entry that the state machine has applied, if it was
+    /// kept while the replica alone restarts; 0 otherwise.
+    std::uint64_t applied{0};
 };
 
 /// Role of a replica.
--- a/src/agreement/agreement_log.cpp
+++ b/src/agreement/agreement_log.cpp
@@ -1,17 +1,18 @@
 #include "agreement/agreement_log.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace boragestand::agreement
 {
 
 agreement_log::agreement_log(
     std::optional<protocol::agreement_snapshot> snapshot,
-    const std::vector<protocol::log_entry>& entries)
+    std::vector<protocol::log_entry> entries)
     : snapshot_(std::make_shared<const protocol::agreement_snapshot>(
           std::move(snapshot).value_or(protocol::agreement_snapshot{})))
 {
-    append(entries);
+    append(std::move(entries));
 }
 
 protocol::log_position agreement_log::last() const
@@ -60,7 +61,7 @@
     return part;
 }
 
-void agreement_log::append(const std::vector<protocol::log_entry>& entries)
+void agreement_log::append(std::vector<protocol::log_entry> entries)
 {
     if (entries.empty())
     {
@@ -70,9 +71,9 @@
     entries_.resize(first - snapshot_->last.index - 1);
     std::erase_if(changes_, [first](const group_change& change)
                   { return change.index >= first; });
-    for (const auto& entry : entries)
+    for (auto& each : entries)
     {
-        entries_.push_back(entry);
+        const auto& entry = entries_.emplace_back(std::move(each));
         if (entry.kind != protocol::entry_kind::membership)
         {
             continue;
@@ -84,6 +85,17 @@
     }
 }
 
+std::uint64_t agreement_log::bytes_between(std::uint64_t first,
+                                           std::uint64_t last) const
+{
+    std::uint64_t bytes = 0;
+    for (auto index = first; index <= last; ++index)
+    {
+        bytes += sizeof(protocol::log_entry) + at(index).data.size();
+    }
+    return bytes;
+}
+
 void agreement_log::compact(std::uint64_t index, std::string data)
 {
     const auto count =
--- a/src/agreement/agreement_log.hpp
+++ b/src/agreement/agreement_log.hpp
@@ -18,7 +18,7 @@
 public:
     /// The entries must follow the snapshot without a gap.
     agreement_log(std::optional<protocol::agreement_snapshot> snapshot,
-                  const std::vector<protocol::log_entry>& entries);
+                  std::vector<protocol::log_entry> entries);
 
     /// Position of the last entry, or of the snapshot if there is none.
     protocol::log_position last() const;
@@ -42,7 +42,10 @@
                                            std::size_t max_bytes) const;
 
     /// Appends entries after removing all from the index of the first one on.
-    void append(const std::vector<protocol::log_entry>& entries);
+    void append(std::vector<protocol::log_entry> entries);
+
+    /// Memory that the entries from one index to another take, both included.
+    std::uint64_t bytes_between(std::uint64_t first, std::uint64_t last) const;
 
     /// Replaces the entries up to an index with a snapshot.
     void compact(std::uint64_t index, std::string data);
--- a/src/agreement/agreement_node.cpp
+++ b/src/agreement/agreement_node.cpp
@@ -1,5 +1,7 @@
 #include "agreement/agreement_node.hpp"
 
+#include <utility>
+
 namespace boragestand::agreement
 {
 
@@ -21,7 +23,9 @@
 
 agreement_node::agreement_node(agreement_start start,
                                const agreement_settings& settings)
-    : core_(start, settings), election_(core_, start.seed), receiver_(core_)
+    : core_(std::move(start), settings)
+    , election_(core_, core_.seed())
+    , receiver_(core_)
 {
 }
 
--- a/src/agreement/agreement_node.hpp
+++ b/src/agreement/agreement_node.hpp
@@ -37,6 +37,12 @@
     /// Position of the last entry.
     protocol::log_position last() const { return core_.log().last(); }
 
+    /// Memory that the entries after the newest snapshot take.
+    std::uint64_t log_bytes() const
+    {
+        return core_.log().bytes_between(snapshot_index() + 1, last().index);
+    }
+
     /// Index that the newest snapshot covers.
     std::uint64_t snapshot_index() const
     {
--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-constexpr std::array<error_info, 20> error_table{{
+constexpr std::array<error_info, 21> error_table{{
     {error_kind::invalid_argument, "invalid_argument", 400, 2, false,
      "The request or command line is not valid."},
     {error_kind::invalid_settings, "invalid_settings", 400, 3, false,
@@ -46,6 +46,8 @@
      "This identity has left the group and cannot return."},
     {error_kind::change_in_progress, "change_in_progress", 409, 19, true,
      "Another membership change is not finished yet."},
+    {error_kind::storage_full, "storage_full", 507, 22, true,
+     "The disk is full; changes are refused until there is room."},
     {error_kind::cancelled, "cancelled", 499, 20, true,
      "The operation was cancelled before it ran."},
     {error_kind::internal, "internal", 500, 21, false,
--- a/src/base/error.hpp
+++ b/src/base/error.hpp
@@ -30,6 +30,7 @@
     storage_corrupt,
     identity_retired,
     change_in_progress,
+    storage_full,
     cancelled,
     internal
 };
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -39,6 +39,14 @@
     return founders;
 }
 
+agreement::agreement_settings
+replication_settings(const control_node_settings& settings)
+{
+    auto replication = settings.replication;
+    replication.snapshot_interval_bytes = settings.limits.snapshot_interval;
+    return replication;
+}
+
 } // namespace
 
 result<std::unique_ptr<control_node>>
@@ -46,8 +54,8 @@
                    const control_node_settings& settings, fleet_log& log,
                    std::function<void(std::optional<error>)> stop)
 {
-    auto disk =
-        replica::replica_disk::open(settings.data_directory + "/replica");
+    auto disk = replica::replica_disk::open(
+        settings.data_directory + "/replica", settings.limits.segment_size);
     if (!disk)
     {
         return tl::unexpected(disk.error());
@@ -94,7 +102,9 @@
     , runner_(std::make_unique<replica::replica_runner>(
           std::move(disk), settings.address, random_number(),
           replica::replica_runner::parts{timers, peers_, machine_, log},
-          settings.replication, [this](const error& cause) { stop_(cause); }))
+          replication_settings(settings),
+          [this](const error& cause) { stop_(cause); },
+          replica::storage_reserve{settings.limits.reserve}))
     , members_(*runner_, peers_, log)
     , founding_(settings.address.address, settings.address,
                 {.founders = founders_of(settings.seeds),
@@ -526,8 +536,17 @@
         callback({});
         return;
     }
+    auto command = state::encode_plan(plan);
+    // What is committed must decode everywhere: a compressed plan is smaller
+    // than the limit of its content.
+    if (!state::decode_submitted_plan(command))
+    {
+        callback(failure(error_kind::resource_exhausted,
+                         "the plan is larger than a control instance reads"));
+        return;
+    }
     runner_->submit(
-        state::encode_plan(plan),
+        std::move(command),
         [this, callback = std::move(callback),
          started = timers_.now()](const result<std::uint64_t>& index)
         {
@@ -619,6 +638,12 @@
     append_gauge(text, "boragestand_term", "Term of the group", node.term());
     append_gauge(text, "boragestand_commit_index", "Last committed entry",
                  node.commit_index());
+    append_gauge(text, "boragestand_disk_free_bytes",
+                 "Bytes that can still be written to the disk of the log",
+                 runner_->free_bytes().value_or(0));
+    append_gauge(text, "boragestand_log_bytes",
+                 "Entries after the newest snapshot, in memory",
+                 node.log_bytes());
     append_gauge(text, "boragestand_members", "Members of the group",
                  node.group().members.size());
     append_gauge(text, "boragestand_plan_version",
--- a/src/fleet/control_node.hpp
+++ b/src/fleet/control_node.hpp
@@ -5,6 +5,7 @@
 #include "fleet/directory_server.hpp"
 #include "fleet/directory_store.hpp"
 #include "fleet/leave_confirmations.hpp"
+#include "fleet/log_limits.hpp"
 #include "fleet/plan_machine.hpp"
 #include "fleet/save_schedule.hpp"
 
@@ -31,6 +32,8 @@
     coordination::warmup_granter_settings warmup;
     coordination::registry_settings registry;
     agreement::agreement_settings replication;
+    /// Its snapshot interval replaces that of replication.
+    log_limits limits{log_limits_for(0, 0)};
 };
 
 /// A control instance of a fleet with automatic discovery. Replicates the plan,
--- a/src/replica/replica_disk.cpp
+++ b/src/replica/replica_disk.cpp
@@ -1,28 +1,40 @@
 #include "replica/replica_disk.hpp"
 
+#include <utility>
+
 namespace boragestand::replica
 {
 
 result<std::unique_ptr<replica_disk>>
-replica_disk::open(const std::string& path)
+replica_disk::open(const std::string& path, std::uint64_t segment_size)
 {
     auto files = state::file_disk::open(path);
     if (!files)
     {
         return tl::unexpected(files.error());
     }
-    std::unique_ptr<replica_disk> disk(new replica_disk(std::move(*files)));
-    const auto outcome = disk->read();
-    if (!outcome)
-    {
-        return failure(outcome.error().kind,
-                       path + ": " + outcome.error().message);
-    }
-    return disk;
+    return open(std::unique_ptr<state::disk>(std::move(*files)), segment_size)
+        .map_error(
+            [&path](const error& fault) {
+                return error{fault.kind, path + ": " + fault.message};
+            });
+}
+
+result<std::unique_ptr<replica_disk>>
+replica_disk::open(std::unique_ptr<state::disk> files,
+                   std::uint64_t segment_size)
+{
+    std::unique_ptr<replica_disk> disk(
+        new replica_disk(std::move(files), segment_size));
+    return disk->read().map([&] { return std::move(disk); });
 }
 
-replica_disk::replica_disk(std::unique_ptr<state::file_disk> files)
-    : files_(std::move(files)), hard_state_(*files_), snapshots_(*files_)
+replica_disk::replica_disk(std::unique_ptr<state::disk> files,
+                           std::uint64_t segment_size)
+    : files_(std::move(files))
+    , segment_size_(segment_size)
+    , hard_state_(*files_)
+    , snapshots_(*files_)
 {
 }
 
@@ -42,12 +54,15 @@
     }
     snapshot_ = std::move(*snapshot);
     const auto last = snapshot_ ? snapshot_->last : protocol::log_position{};
-    auto log = state::durable_log::open(*files_, last, recovery_);
+    auto log =
+        state::durable_log::open(*files_, last, recovery_, segment_size_);
     if (!log)
     {
         return tl::unexpected(log.error());
     }
     log_ = std::move(*log);
+    has_snapshot_ = snapshot_.has_value();
+    has_entries_ = !recovery_.entries.empty();
     return {};
 }
 
@@ -59,13 +74,13 @@
 
 bool replica_disk::has_history() const
 {
-    return snapshot_.has_value() || !recovery_.entries.empty();
+    return has_snapshot_ || has_entries_;
 }
 
 result<void>
 replica_disk::save_founders(const protocol::replica_group& founders)
 {
-    if (snapshot_)
+    if (has_snapshot_)
     {
         return failure(error_kind::internal, "the group is founded already");
     }
@@ -75,10 +90,14 @@
 }
 
 agreement::agreement_start
-replica_disk::start(const transport::endpoint& address,
-                    std::uint64_t seed) const
+replica_disk::start(const transport::endpoint& address, std::uint64_t seed)
 {
-    return {hard_state_.current(), snapshot_, recovery_.entries, address, seed};
+    return {hard_state_.current(),
+            std::exchange(snapshot_, std::nullopt),
+            std::exchange(recovery_.entries, {}),
+            address,
+            seed,
+            0};
 }
 
 result<void>
--- a/src/replica/replica_event_log.cpp
+++ b/src/replica/replica_event_log.cpp
@@ -102,6 +102,14 @@
                        });
 }
 
+void replica_event_log::storage_full(const error& cause, time_point now)
+{
+    log_.write_limited(
+        log_level::warn, "storage_full", now,
+        [&]
+        { return log_line("storage_full").with("message", cause.message); });
+}
+
 void replica_event_log::failed(const error& cause)
 {
     log_.write(log_level::error,
--- a/src/replica/replica_event_log.hpp
+++ b/src/replica/replica_event_log.hpp
@@ -24,6 +24,7 @@
     void request_failed(std::string_view path, const error& cause) override;
     void bad_input(std::string_view input, const error& cause,
                    const transport::endpoint& source, time_point now) override;
+    void storage_full(const error& cause, time_point now) override;
     void failed(const error& cause) override;
 
     settings::event_log& lines() { return log_; }
--- a/src/replica/replica_log.hpp
+++ b/src/replica/replica_log.hpp
@@ -41,6 +41,10 @@
                            const transport::endpoint& source,
                            time_point now) = 0;
 
+    /// A change was refused, or could not be stored, for lack of disk space;
+    /// logged at a bounded rate.
+    virtual void storage_full(const error& cause, time_point now) = 0;
+
     /// The replica must stop because of an error.
     virtual void failed(const error& cause) = 0;
 };
--- a/src/replica/replica_runner.cpp
+++ b/src/replica/replica_runner.cpp
@@ -1,5 +1,6 @@
 #include "replica/replica_runner.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace boragestand::replica
@@ -11,24 +12,31 @@
 // A finer tick would only cost wake-ups.
 constexpr int ticks_per_heartbeat = 4;
 
+// If all disks are full, each new leader refuses as well. A change of leader
+// interrupts reads for some round trips, so refusals cause few of them.
+constexpr duration transfer_interval = std::chrono::seconds(30);
+
 } // namespace
 
 replica_runner::replica_runner(std::unique_ptr<replica_disk> disk,
                                const transport::endpoint& address,
                                std::uint64_t seed, const parts& surroundings,
                                const agreement::agreement_settings& settings,
-                               std::function<void(const error&)> failed)
+                               std::function<void(const error&)> failed,
+                               storage_reserve reserve)
     : disk_(std::move(disk))
     , address_(address)
     , seed_(seed)
     , parts_(surroundings)
     , settings_(settings)
     , failure_callback_(std::move(failed))
+    , reserve_(reserve)
 {
 }
 
 result<void> replica_runner::start()
 {
+    parts_.log.started(disk_->self(), disk_->recovery());
     auto start = disk_->start(address_, seed_);
     const auto restored = start.snapshot
                               ? parts_.machine.restore(start.snapshot->data)
@@ -37,15 +45,111 @@
     {
         return restored;
     }
-    node_ = std::make_unique<agreement::agreement_node>(std::move(start),
-                                                        settings_);
-    parts_.log.started(disk_->self(), disk_->recovery());
+    applied_ = start.snapshot ? start.snapshot->last.index : 0;
+    make_node(std::move(start));
     ticks_ = parts_.timers.every(
         settings_.heartbeat_interval / ticks_per_heartbeat,
         [this](time_point) { step(agreement::clock_tick{}); });
     return {};
 }
 
+void replica_runner::make_node(agreement::agreement_start start)
+{
+    node_ = std::make_unique<agreement::agreement_node>(std::move(start),
+                                                        settings_);
+}
+
+// The node in memory is ahead of the disk, as before a crash. Later effects of
+// the step, such as acknowledgements and votes, are dropped, and the node
+// restarts as a follower with exactly what is durable. The state machine holds
+// committed entries only and stays.
+void replica_runner::restart_replica(const error& cause)
+{
+    parts_.log.storage_full(cause, parts_.timers.now());
+    requested_snapshot_.reset();
+    fail_pending_requests(
+        {error_kind::timeout,
+         "the disk is full; the outcome is unknown: " + cause.message});
+    const auto restarted = disk_->reopen().and_then(
+        [this]
+        {
+            auto start = disk_->start(address_, ++seed_);
+            start.applied = applied_;
+            const bool is_newer =
+                start.snapshot && start.snapshot->last.index > applied_;
+            const auto restored =
+                is_newer ? parts_.machine.restore(start.snapshot->data)
+                         : result<void>{};
+            applied_ = is_newer ? start.snapshot->last.index : applied_;
+            make_node(std::move(start));
+            return restored;
+        });
+    if (!restarted)
+    {
+        report_failure(restarted.error());
+    }
+}
+
+void replica_runner::fail_pending_requests(const error& cause)
+{
+    for (const auto& [token, callback] : std::exchange(command_callbacks_, {}))
+    {
+        callback(tl::unexpected(cause));
+    }
+    for (const auto& [token, callback] : std::exchange(deferred_callbacks_, {}))
+    {
+        defer([answer = callback, cause] { answer(tl::unexpected(cause)); });
+    }
+}
+
+void replica_runner::refuse_for_room(std::uint64_t free,
+                                     const index_callback& callback)
+{
+    const error cause{error_kind::storage_full,
+                      "the disk of the leader has " + std::to_string(free) +
+                          " bytes left, of which " +
+                          std::to_string(reserve_.bytes) + " are kept free"};
+    const auto now = parts_.timers.now();
+    parts_.log.storage_full(cause, now);
+    callback(tl::unexpected(cause));
+    finish_step();
+    const bool is_due =
+        !transferred_ || now - *transferred_ >= transfer_interval;
+    if (is_due && node_->group().voter_count() > 1)
+    {
+        // Another disk may have room.
+        transferred_ = now;
+        transfer_leadership();
+    }
+}
+
+// A shorter list of entries is a valid request, whose answer does not
+// acknowledge the missing ones; the leader sends them again.
+void replica_runner::drop_entries_without_room(
+    protocol::append_request& request)
+{
+    const auto free = disk_->free_bytes();
+    if (!free)
+    {
+        return;
+    }
+    auto& entries = request.entries;
+    const auto first = std::find_if(
+        entries.begin(), entries.end(),
+        [&](const protocol::log_entry& entry)
+        { return !reserve_.admits_entry(*free, entry.data.size()); });
+    if (first == entries.end())
+    {
+        return;
+    }
+    parts_.log.storage_full({error_kind::storage_full,
+                             "entry " + std::to_string(first->index) +
+                                 " is not stored: " + std::to_string(*free) +
+                                 " bytes left on the disk"},
+                            parts_.timers.now());
+    entries.erase(first, entries.end());
+}
+
 void replica_runner::found(const protocol::replica_group& founders)
 {
     const auto outcome = disk_->save_founders(founders).and_then(
@@ -80,11 +184,24 @@
 
 void replica_runner::receive(const protocol::agreement_envelope& envelope)
 {
-    step(agreement::message_received{envelope});
+    agreement::message_received input{envelope};
+    if (auto* request =
+            std::get_if<protocol::append_request>(&input.envelope.message))
+    {
+        drop_entries_without_room(*request);
+    }
+    step(std::move(input));
 }
 
 void replica_runner::submit(std::string command, index_callback callback)
 {
+    const auto free = disk_->free_bytes();
+    if (!failed_ && is_leader() && free &&
+        !reserve_.admits_command(*free, command.size()))
+    {
+        refuse_for_room(*free, callback);
+        return;
+    }
     const auto token = next_token_++;
     command_callbacks_.emplace(token, std::move(callback));
     step(agreement::proposal{token, std::move(command)});
@@ -141,6 +258,11 @@
         if (!outcome)
         {
             // Later effects, such as messages, may depend on this one.
+            if (outcome.error().kind == error_kind::storage_full)
+            {
+                restart_replica(outcome.error());
+                return;
+            }
             report_failure(outcome.error());
             return;
         }
@@ -185,6 +307,7 @@
 
 result<void> replica_runner::run(const agreement::restore_snapshot& effect)
 {
+    applied_ = effect.snapshot->last.index;
     return parts_.machine.restore(effect.snapshot->data);
 }
 
@@ -194,6 +317,7 @@
     {
         parts_.log.group_changed(effect.entry);
     }
+    applied_ = effect.entry.index;
     return effect.entry.kind == protocol::entry_kind::command
                ? parts_.machine.apply(effect.entry)
                : result<void>{};
--- a/src/replica/replica_runner.hpp
+++ b/src/replica/replica_runner.hpp
@@ -4,6 +4,7 @@
 #include "replica/replica_disk.hpp"
 #include "replica/replica_log.hpp"
 #include "replica/state_machine.hpp"
+#include "replica/storage_reserve.hpp"
 
 #include <functional>
 #include <map>
@@ -30,12 +31,13 @@
     };
 
     /// failed is called when the process must stop: a disk failed or an
-    /// invariant is broken.
+    /// invariant is broken. A full disk does not stop it.
     replica_runner(std::unique_ptr<replica_disk> disk,
                    const transport::endpoint& address, std::uint64_t seed,
                    const parts& surroundings,
                    const agreement::agreement_settings& settings,
-                   std::function<void(const error&)> failed);
+                   std::function<void(const error&)> failed,
+                   storage_reserve reserve = {});
 
     /// Restores the state machine from the disk and starts the replica.
     result<void> start();
@@ -49,7 +51,8 @@
 
     /// Replicates a command. The callback gets its index right after the state
     /// machine has applied it, while the step still runs: it may only read the
-    /// state machine and defer().
+    /// state machine and defer(). error_kind::storage_full if this leader's
+    /// disk has no room for it; it has not run then.
     void submit(std::string command, index_callback callback);
 
     /// Changes the members of the group.
@@ -65,6 +68,9 @@
     /// Transfers leadership to another voter if this instance leads.
     void transfer_leadership();
 
+    /// Bytes that can still be written to the disk.
+    result<std::uint64_t> free_bytes() const { return disk_->free_bytes(); }
+
     const agreement::agreement_node& node() const { return *node_; }
     bool is_leader() const;
 
@@ -91,6 +97,11 @@
     result<void> run(const agreement::snapshot_requested& effect);
     result<void> run(const agreement::role_changed& effect);
     result<void> run(const agreement::invariant_broken& effect);
+    void make_node(agreement::agreement_start start);
+    void restart_replica(const error& cause);
+    void fail_pending_requests(const error& cause);
+    void refuse_for_room(std::uint64_t free, const index_callback& callback);
+    void drop_entries_without_room(protocol::append_request& request);
     void finish_step();
     void report_failure(const error& cause);
     void complete_request(std::uint64_t token,
@@ -102,6 +113,9 @@
     parts parts_;
     agreement::agreement_settings settings_;
     std::function<void(const error&)> failure_callback_;
+    storage_reserve reserve_;
+    std::optional<time_point> transferred_;
+    std::uint64_t applied_{0}; ///< index of the last applied entry
     std::unique_ptr<agreement::agreement_node> node_;
     transport::subscription ticks_;
 
--- a/src/state/checksummed_file.cpp
+++ b/src/state/checksummed_file.cpp
@@ -26,11 +26,19 @@
 {
     const std::string temporary =
         std::string(name) + std::string(temporary_suffix);
-    return files.remove(temporary)
-        .and_then([&] { return files.append(temporary, make_frame(payload)); })
-        .and_then([&] { return files.sync(temporary); })
-        .and_then([&] { return files.rename(temporary, name); })
-        .and_then([&] { return files.sync_directory(); });
+    const auto replaced =
+        files.remove(temporary)
+            .and_then([&]
+                      { return files.append(temporary, make_frame(payload)); })
+            .and_then([&] { return files.sync(temporary); })
+            .and_then([&] { return files.rename(temporary, name); })
+            .and_then([&] { return files.sync_directory(); });
+    if (!replaced && replaced.error().kind == error_kind::storage_full)
+    {
+        // An incomplete file would take the room of smaller ones.
+        static_cast<void>(files.remove(temporary));
+    }
+    return replaced;
 }
 
 } // namespace boragestand::state
--- a/src/state/disk.hpp
+++ b/src/state/disk.hpp
@@ -12,7 +12,8 @@
 /// The files of one data directory. Durable storage accesses the disk only
 /// through this interface, so that a test can stop at each write and sync and
 /// lose what was not synced. Names are plain file names within the directory.
-/// Unless stated otherwise, failures are error_kind::storage_failure.
+/// Unless stated otherwise, failures are error_kind::storage_failure, or
+/// error_kind::storage_full if a write or a new file found no room.
 class disk
 {
 public:
@@ -44,6 +45,9 @@
 
     /// Removes a file; no error if there is none.
     virtual result<void> remove(std::string_view name) = 0;
+
+    /// Bytes that can still be written.
+    virtual result<std::uint64_t> free_bytes() = 0;
 };
 
 } // namespace boragestand::state
--- a/src/state/file_disk.cpp
+++ b/src/state/file_disk.cpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <sys/file.h>
 #include <sys/stat.h>
+#include <sys/statvfs.h>
 #include <unistd.h>
 
 namespace boragestand::state
@@ -24,6 +25,19 @@
                        " failed: " + std::strerror(errno));
 }
 
+// For calls that fail before data is accepted. A failed sync stays a storage
+// failure: the kernel may then drop data that can still be read back.
+tl::unexpected<error> write_failure(const char* call, const std::string& path)
+{
+    const bool full = errno == ENOSPC || errno == EDQUOT;
+    auto fault = system_failure(call, path);
+    if (full)
+    {
+        fault.value().kind = error_kind::storage_full;
+    }
+    return fault;
+}
+
 bool write_all(int fd, std::string_view bytes)
 {
     while (!bytes.empty())
@@ -160,7 +174,7 @@
         ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600));
     if (!fd)
     {
-        return system_failure("open", path);
+        return write_failure("open", path);
     }
     const int value = fd.value();
     open_files_.insert_or_assign(name, std::move(fd));
@@ -176,7 +190,7 @@
     }
     if (!write_all(*fd, bytes))
     {
-        return system_failure("write", path_of(name));
+        return write_failure("write", path_of(name));
     }
     return {};
 }
@@ -220,7 +234,7 @@
     open_files_.erase(std::string(to));
     if (::rename(path_of(from).c_str(), path_of(to).c_str()) != 0)
     {
-        return system_failure("rename", path_of(from));
+        return write_failure("rename", path_of(from));
     }
     return {};
 }
@@ -235,4 +249,16 @@
     return {};
 }
 
+result<std::uint64_t> file_disk::free_bytes()
+{
+    struct statvfs found
+    {
+    };
+    if (::statvfs(path_.c_str(), &found) != 0)
+    {
+        return system_failure("statvfs", path_);
+    }
+    return std::uint64_t{found.f_bavail} * found.f_frsize;
+}
+
 } // namespace boragestand::state
--- a/src/state/file_disk.hpp
+++ b/src/state/file_disk.hpp
@@ -26,6 +26,7 @@
     result<void> sync_directory() override;
     result<void> rename(std::string_view from, std::string_view to) override;
     result<void> remove(std::string_view name) override;
+    result<std::uint64_t> free_bytes() override;
 
 private:
     file_disk(std::string path, transport::unique_fd directory);
--- a/tests/state/durable_storage_test.cpp
+++ b/tests/state/durable_storage_test.cpp
@@ -1,4 +1,5 @@
 #include "../support/crash_disk.hpp"
+#include "state/checksummed_file.hpp"
 #include "state/state.hpp"
 
 #include <gtest/gtest.h>
@@ -205,6 +206,41 @@
     }
 }
 
+// Guards against a full disk that costs acknowledged data, leaves a log that
+// does not open, or loses room to a temporary file that was not completed.
+TEST(durable_storage, keeps_acknowledged_state_when_the_disk_fills_up)
+{
+    std::uint64_t failures = 0;
+    for (std::uint64_t capacity = 200; capacity < 3000; capacity += 7)
+    {
+        SCOPED_TRACE(capacity);
+        crash_disk files(capacity);
+        workload storage(files);
+        files.set_capacity(capacity);
+        try
+        {
+            storage.run();
+        }
+        catch (const std::runtime_error&)
+        {
+            ++failures;
+        }
+        const auto names = files.list().value();
+        for (const auto& name : names)
+        {
+            EXPECT_FALSE(name.ends_with(temporary_suffix)) << name;
+        }
+        const auto found = recover(files);
+        ASSERT_TRUE(found) << found.error().message;
+        EXPECT_TRUE(storage.acknowledged.matches(found->snapshot,
+                                                 found->recovery.entries) ||
+                    storage.in_progress.matches(found->snapshot,
+                                                found->recovery.entries));
+        EXPECT_GE(found->hard.term, storage.acknowledged.hard.term);
+    }
+    EXPECT_GT(failures, 100U);
+}
+
 // Guards against unsynced data that a killed process left: the next process
 // reads it and acts on it, and a power failure then loses it.
 TEST(durable_storage, makes_what_it_recovers_durable)
--- a/tests/support/crash_disk.hpp
+++ b/tests/support/crash_disk.hpp
@@ -45,6 +45,12 @@
 
     result<void> append(std::string_view name, std::string_view bytes) override
     {
+        const bool has_room = bytes.size() <= free();
+        if (!has_room)
+        {
+            // Like a file system, takes what fits and refuses the rest.
+            bytes = bytes.substr(0, free());
+        }
         auto& file = files_[std::string(name)];
         if (!file)
         {
@@ -54,7 +60,8 @@
         const auto kept = stop ? random_.below(bytes.size() + 1) : bytes.size();
         file->content.append(bytes.substr(0, kept));
         stop_if(stop);
-        return {};
+        return has_room ? result<void>{}
+                        : failure(error_kind::storage_full, std::string(name));
     }
 
     result<void> truncate(std::string_view name, std::uint64_t size) override
@@ -94,6 +101,22 @@
         return {};
     }
 
+    result<std::uint64_t> free_bytes() override { return free(); }
+
+    /// Limits the bytes of all files.
+    void set_capacity(std::uint64_t bytes) { capacity_ = bytes; }
+
+    /// Bytes of all files.
+    std::uint64_t used() const
+    {
+        std::uint64_t bytes = 0;
+        for (const auto& [name, file] : files_)
+        {
+            bytes += file->content.size();
+        }
+        return bytes;
+    }
+
     /// Throws simulated_crash at the given write or sync from now on, 0 being
     /// the next one.
     void crash_at(std::uint64_t operation) { stop_at_ = operation; }
@@ -143,6 +166,12 @@
         std::string synced;
     };
 
+    std::uint64_t free() const
+    {
+        const auto taken = used();
+        return capacity_ > taken ? capacity_ - taken : 0;
+    }
+
     bool step()
     {
         ++operations_;
@@ -196,6 +225,7 @@
     std::map<std::string, std::shared_ptr<inode>, std::less<>> durable_;
     std::optional<std::uint64_t> stop_at_;
     std::uint64_t operations_{0};
+    std::uint64_t capacity_{std::uint64_t{1} << 40U};
 };
 
 } // namespace boragestand::testing
