--- a/src/traffic/upstream_selection.cpp
+++ b/src/traffic/upstream_selection.cpp
@@ -346,7 +346,8 @@
     const double answering = 1.0 - load.failing;
     double quality = answering * answering;
     const double own_ms = service_ms(load, slots);
-    // A slow upstream gets few requests, so the speed that it showed last counts.
+    // A slow upstream gets few requests, so the speed that it showed last
+    // counts.
     if (usual_ms > 0 && own_ms > normal_slowness * usual_ms)
     {
         // Squared, since its callers wait longer beside its lower capacity.
