Correct what the review of the new parts found

Not changed, and said in the notes: an entry instance that has only the record of a former start sends to a cold upstream; evacuations are ordered by log index, so a group that is founded anew needs new entry instances.

Result: tests of grants after lost heartbeats and lower rates, and of slow starts.

--- a/src/base/token_bucket.hpp
+++ b/src/base/token_bucket.hpp
@@ -30,6 +30,13 @@
         return true;
     }
 
+    /// Changes the rate; the tokens stay.
+    void set_rate(double rate, time_point now)
+    {
+        refill(now);
+        rate_ = rate;
+    }
+
     /// Number of tokens available now.
     double available(time_point now)
     {
--- a/src/coordination/load_exchange.cpp
+++ b/src/coordination/load_exchange.cpp
@@ -90,12 +90,10 @@
 
 void load_exchange::expire(time_point now)
 {
-    const auto is_old = [now](const auto& each)
-    {
-        return now - each.second.at > evidence_lifetime;
-    };
-    std::erase_if(entries_, is_old);
-    std::erase_if(controls_, is_old);
+    std::erase_if(entries_, [now](const auto& each)
+                  { return now - each.second.at > evidence_lifetime; });
+    std::erase_if(controls_, [now](const auto& each)
+                  { return now - each.second.at > sum_lifetime; });
     std::erase_if(sent_, [now](const auto& each)
                   { return now - each.second > evidence_lifetime; });
 }
@@ -145,8 +143,8 @@
     return encode_sum({&entries_}, max_sum_bytes, now);
 }
 
-std::string load_exchange::make_picture(const transport::endpoint& receiver,
-                                        time_point now)
+std::string load_exchange::make_aggregate(const transport::endpoint& receiver,
+                                          time_point now)
 {
     if ((entries_.empty() && controls_.empty()) || !is_due(receiver, now))
     {
--- a/src/coordination/load_exchange.hpp
+++ b/src/coordination/load_exchange.hpp
@@ -10,7 +10,7 @@
 
 /// Joins at a control instance what entry instances have measured of upstreams.
 /// Each control instance sums the reports of the entry instances that it
-/// serves, and passes the sum to the others; the picture of all is the sum of
+/// serves, and passes the sum to the others; the aggregate of all is the sum of
 /// the sums. A report replaces the one before of its writer and counts for
 /// evidence_lifetime, so that a writer that is lost or frozen does no harm for
 /// long. Does no I/O; times are passed in.
@@ -21,6 +21,10 @@
     /// be lost and one late.
     static constexpr duration evidence_lifetime = std::chrono::seconds(3);
 
+    /// Sums of other control instances count for less, since they hold reports
+    /// that may have been as old when they were sent.
+    static constexpr duration sum_lifetime = std::chrono::seconds(2);
+
     /// Shortest time between two sums for one receiver.
     static constexpr duration send_interval = std::chrono::milliseconds(900);
 
@@ -40,9 +44,9 @@
     /// to tell.
     std::string make_sum(const transport::endpoint& receiver, time_point now);
 
-    /// Picture over all entry instances, for one of them; empty as above.
-    std::string make_picture(const transport::endpoint& receiver,
-                             time_point now);
+    /// Aggregate over all entry instances, for one of them; empty as above.
+    std::string make_aggregate(const transport::endpoint& receiver,
+                               time_point now);
 
     /// Number of reports in use.
     std::size_t report_count() const
--- a/src/coordination/upstream_registry.cpp
+++ b/src/coordination/upstream_registry.cpp
@@ -226,6 +226,8 @@
     }
     auto returned = known.record;
     returned.condition = known.announced_condition;
+    returned.warmup_left_ms =
+        warmup_left(returned.warmup_left_ms, now - known.updated_at);
     const bool was_lost = known.record.condition == upstream_condition::lost;
     if (was_lost &&
         resolve_address_conflict(returned, address_claim::free_only, now))
@@ -301,6 +303,8 @@
         {
             auto record = known.record;
             record.condition = upstream_condition::lost;
+            record.warmup_left_ms =
+                warmup_left(record.warmup_left_ms, now - known.updated_at);
             store_change(known, record, now);
             lost.push_back(it->first);
         }
--- a/src/coordination/warmup_granter.cpp
+++ b/src/coordination/warmup_granter.cpp
@@ -31,9 +31,14 @@
 {
     const bool cold = record.condition == upstream_condition::ready &&
                       record.warmup_left_ms > 0 && requests_per_1000_s > 0;
+    const auto known = upstreams_.find(record.id);
     if (!cold)
     {
-        upstreams_.erase(record.id);
+        // The holders' grants are still valid.
+        if (known != upstreams_.end())
+        {
+            known->second.cold_until = now;
+        }
         return;
     }
     auto& target = upstreams_[record.id];
@@ -63,19 +68,20 @@
     return std::clamp<std::size_t>(parts, 1, max_holders);
 }
 
-bool warmup_granter::may_hold(std::uint64_t id, cold_upstream& upstream,
-                              const transport::endpoint& entry,
-                              const std::vector<transport::endpoint>& entries,
-                              time_point now) const
+bool warmup_granter::may_hold(
+    std::uint64_t id, const cold_upstream& upstream,
+    const transport::endpoint& entry,
+    const std::vector<transport::endpoint>& entries) const
 {
-    auto& holders = upstream.holders;
-    std::erase_if(holders,
-                  [now](const auto& each) { return each.second <= now; });
+    const auto count = holder_count(upstream);
+    const auto& holders = upstream.holders;
     if (holders.contains(entry))
     {
-        return true;
+        // Fewer may hold a part once the rate has been lowered.
+        const auto position =
+            std::distance(holders.begin(), holders.find(entry));
+        return static_cast<std::size_t>(position) < count;
     }
-    const auto count = holder_count(upstream);
     if (holders.size() >= count)
     {
         return false;
@@ -92,13 +98,21 @@
 
 void warmup_granter::expire(time_point now)
 {
-    std::erase_if(upstreams_,
-                  [&](const auto& each)
-                  {
-                      const auto& upstream = each.second;
-                      return now >= upstream.cold_until ||
-                             now - upstream.heard_at > settings_.lifetime;
-                  });
+    for (auto it = upstreams_.begin(); it != upstreams_.end();)
+    {
+        auto& holders = it->second.holders;
+        std::erase_if(holders,
+                      [now](const auto& each) { return each.second <= now; });
+        const bool done = holders.empty() && !is_granted(it->second, now);
+        it = done ? upstreams_.erase(it) : std::next(it);
+    }
+}
+
+bool warmup_granter::is_granted(const cold_upstream& upstream,
+                                time_point now) const
+{
+    return now < upstream.cold_until &&
+           now - upstream.heard_at <= settings_.lifetime;
 }
 
 std::vector<warmup_grant>
@@ -114,7 +128,8 @@
     }
     for (auto& [id, upstream] : upstreams_)
     {
-        if (!may_hold(id, upstream, entry, entries, now))
+        if (!is_granted(upstream, now) ||
+            !may_hold(id, upstream, entry, entries))
         {
             continue;
         }
--- a/src/coordination/warmup_granter.hpp
+++ b/src/coordination/warmup_granter.hpp
@@ -32,10 +32,10 @@
 class warmup_granter
 {
 public:
-    /// Grants nothing before a lifetime has passed since start: an earlier run
-    /// of this instance may have granted the rate.
+    /// Grants nothing before the grants of an earlier run of this instance have
+    /// run out, two lifetimes after start.
     warmup_granter(const warmup_granter_settings& settings, time_point start)
-        : settings_(settings), grants_from_(start + settings.lifetime)
+        : settings_(settings), grants_from_(start + 2 * settings.lifetime)
     {
     }
 
@@ -49,7 +49,7 @@
     grants_for(const transport::endpoint& entry,
                const std::vector<transport::endpoint>& entries, time_point now);
 
-    /// Number of cold upstreams that report here.
+    /// Number of cold upstreams that report here or have holders.
     std::size_t size() const { return upstreams_.size(); }
 
 private:
@@ -65,10 +65,10 @@
 
     double budget(const cold_upstream& upstream) const;
     std::size_t holder_count(const cold_upstream& upstream) const;
-    bool may_hold(std::uint64_t id, cold_upstream& upstream,
+    bool may_hold(std::uint64_t id, const cold_upstream& upstream,
                   const transport::endpoint& entry,
-                  const std::vector<transport::endpoint>& entries,
-                  time_point now) const;
+                  const std::vector<transport::endpoint>& entries) const;
+    bool is_granted(const cold_upstream& upstream, time_point now) const;
     void expire(time_point now);
 
     warmup_granter_settings settings_;
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -1,10 +1,12 @@
 #include "fleet/control_node.hpp"
 
+#include "document/document.hpp"
 #include "fleet/fleet_times.hpp"
 #include "state/command_http.hpp"
 
 #include <algorithm>
 #include <filesystem>
+#include <limits>
 #include <random>
 #include <utility>
 
@@ -47,6 +49,15 @@
     return replication;
 }
 
+std::uint32_t bounded_ms(duration span)
+{
+    const auto milliseconds =
+        std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+    constexpr std::int64_t longest = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(milliseconds, 0, longest));
+}
+
 } // namespace
 
 result<std::unique_ptr<control_node>>
@@ -128,6 +139,9 @@
     , started_(timers.now())
 {
     directory_.on_acknowledged([this] { leaves_.answer_acknowledged(); });
+    directory_.on_bad_load(
+        [this](const error& cause, const transport::endpoint& sender)
+        { log_.bad_input("load", cause, sender, timers_.now()); });
     directory_.on_grants(
         [this](const transport::endpoint& entry)
         {
@@ -351,13 +365,12 @@
 {
     for (const auto& [data_centre, entry] : machine_.evacuations().entries())
     {
-        if (entry.active)
-        {
-            evacuations_ended_.erase(data_centre);
-        }
-        else
+        const auto known = evacuations_ended_.find(data_centre);
+        const bool is_new = known == evacuations_ended_.end() ||
+                            known->second.index != entry.index;
+        if (!entry.active && is_new)
         {
-            evacuations_ended_.try_emplace(data_centre, timers_.now());
+            evacuations_ended_[data_centre] = {entry.index, timers_.now()};
         }
     }
 }
@@ -377,22 +390,26 @@
     for (auto& notice : notices)
     {
         const auto ended = evacuations_ended_.find(notice.data_centre);
-        const bool known = !notice.active && ended != evacuations_ended_.end();
-        notice.ended_ms =
-            known ? static_cast<std::uint32_t>(
-                        std::chrono::duration_cast<std::chrono::milliseconds>(
-                            now - ended->second)
-                            .count())
-                  : 0;
+        if (!notice.active && ended != evacuations_ended_.end())
+        {
+            notice.ended_ms = bounded_ms(now - ended->second.at);
+        }
     }
     return notices;
 }
 
+// A data centre that was evacuated stays known, so that the order can be resent
+// and revoked after its upstreams are gone.
 bool control_node::is_known_data_centre(const std::string& name) const
 {
+    if (document::check_name(name))
+    {
+        return false;
+    }
     const auto& listed = settings_.data_centres;
     return listed.empty() ||
            std::find(listed.begin(), listed.end(), name) != listed.end() ||
+           machine_.evacuations().entries().contains(name) ||
            registry_.has_data_centre(name);
 }
 
@@ -561,6 +578,11 @@
 void control_node::submit(const state::evacuation_order& order,
                           done_callback callback)
 {
+    if (!runner_->is_leader())
+    {
+        callback(failure(error_kind::not_leader, "another instance leads"));
+        return;
+    }
     if (!is_known_data_centre(order.data_centre))
     {
         callback(
@@ -568,11 +590,6 @@
                     "data centre \"" + order.data_centre + "\" is not known"));
         return;
     }
-    if (!runner_->is_leader())
-    {
-        callback(failure(error_kind::not_leader, "another instance leads"));
-        return;
-    }
     runner_->submit(
         state::encode_command(order),
         [this, callback = std::move(callback), order,
--- a/src/fleet/control_node.hpp
+++ b/src/fleet/control_node.hpp
@@ -150,8 +150,13 @@
     directory_store store_;
     std::shared_ptr<const state::routing_plan> saved_plan_;
     std::vector<coordination::evacuation_notice> saved_evacuations_;
-    /// When this instance learned that an evacuation has ended.
-    std::map<std::string, time_point> evacuations_ended_;
+    /// End of an evacuation as this instance has learned of it.
+    struct evacuation_end
+    {
+        std::uint64_t index{0}; ///< of the order in the log
+        time_point at;
+    };
+    std::map<std::string, evacuation_end> evacuations_ended_;
     save_schedule saves_;
     directory_server directory_;
     std::map<transport::endpoint, std::unique_ptr<directory_client>>
--- a/src/fleet/directory_server.cpp
+++ b/src/fleet/directory_server.cpp
@@ -32,11 +32,7 @@
         return tl::unexpected(wanted.error());
     }
     record_sender(*wanted);
-    const auto taken = take_load(*wanted);
-    if (!taken)
-    {
-        return taken;
-    }
+    take_load(*wanted);
     const auto now = make_view_();
     if (has_changes(*wanted, now))
     {
@@ -51,16 +47,21 @@
     return {};
 }
 
-result<void> directory_server::take_load(const directory_request& request)
+void directory_server::take_load(const directory_request& request)
 {
     if (request.load.empty())
     {
-        return {};
+        return;
     }
     const auto now = timers_.now();
-    return request.from_replica
-               ? load_.take_control_sum(request.sender, request.load, now)
-               : load_.take_entry_report(request.sender, request.load, now);
+    const auto taken =
+        request.from_replica
+            ? load_.take_control_sum(request.sender, request.load, now)
+            : load_.take_entry_report(request.sender, request.load, now);
+    if (!taken && bad_load_callback_)
+    {
+        bad_load_callback_(taken.error(), request.sender);
+    }
 }
 
 void directory_server::record_sender(const directory_request& request)
@@ -125,7 +126,7 @@
     if (!request.from_replica)
     {
         message.evacuations = now.evacuations;
-        message.load = load_.make_picture(request.sender, timers_.now());
+        message.load = load_.make_aggregate(request.sender, timers_.now());
         if (make_grants_)
         {
             message.grants = make_grants_(request.sender);
--- a/src/fleet/directory_server.hpp
+++ b/src/fleet/directory_server.hpp
@@ -51,6 +51,15 @@
     coordination::load_exchange& load() { return load_; }
     const coordination::load_exchange& load() const { return load_; }
 
+    /// Called for load data that cannot be read; its request is answered as if
+    /// it had none.
+    using bad_load_function =
+        std::function<void(const error&, const transport::endpoint& sender)>;
+    void on_bad_load(bad_load_function callback)
+    {
+        bad_load_callback_ = std::move(callback);
+    }
+
     /// Makes the grants of cold upstreams for an entry instance.
     using grant_function =
         std::function<std::vector<coordination::warmup_grant>(
@@ -72,7 +81,8 @@
     /// Entry instances that asked within the last seconds.
     std::size_t entry_count() const;
 
-    /// Those of them that hold the evacuations up to a log index.
+    /// Those counted by entry_count() that hold the evacuations up to a log
+    /// index.
     std::size_t entry_count_with_evacuations(std::uint64_t index) const;
 
 private:
@@ -91,7 +101,7 @@
 
     bool has_changes(const coordination::directory_request& request,
                      const view& now) const;
-    result<void> take_load(const coordination::directory_request& request);
+    void take_load(const coordination::directory_request& request);
     void record_sender(const coordination::directory_request& request);
     std::vector<coordination::upstream_refresh>
     take_refreshes(const transport::endpoint& replica);
@@ -105,6 +115,7 @@
     std::function<view()> make_view_;
     std::function<void()> acknowledged_callback_;
     grant_function make_grants_;
+    bad_load_function bad_load_callback_;
     coordination::load_exchange load_;
     std::map<std::uint64_t, waiting_request> waiting_;
     std::uint64_t next_waiting_{1};
--- a/src/fleet/entry_node.cpp
+++ b/src/fleet/entry_node.cpp
@@ -91,14 +91,14 @@
         {run, ++load_sequence_, router_.take_evidence(now)});
 }
 
-void entry_node::apply_load(const std::string& picture,
+void entry_node::apply_load(const std::string& aggregate,
                             const transport::endpoint& source)
 {
-    if (picture.empty() || !settings_.router.joins_load)
+    if (aggregate.empty() || !settings_.router.joins_load)
     {
         return;
     }
-    const auto decoded = coordination::decode_evidence(picture);
+    const auto decoded = coordination::decode_evidence(aggregate);
     if (!decoded)
     {
         log_.bad_input("load", decoded.error(), source, timers_.now());
--- a/src/fleet/entry_node.hpp
+++ b/src/fleet/entry_node.hpp
@@ -75,7 +75,7 @@
     void apply_update(const directory_update& update,
                       const transport::endpoint& source);
     std::string make_load_report(time_point now);
-    void apply_load(const std::string& picture,
+    void apply_load(const std::string& aggregate,
                     const transport::endpoint& source);
     void apply_evacuations(
         const std::vector<coordination::evacuation_notice>& received,
--- a/src/traffic/link_admission.cpp
+++ b/src/traffic/link_admission.cpp
@@ -202,8 +202,14 @@
         return decision;
     }
     admitted_bulk_ += bulk ? 1 : 0;
-    flows_[syn.flow] = {syn.sequence, bulk ? decision.expected_bytes : 0, 0, 0,
-                        now};
+    if (flows_.size() < settings_.max_flows)
+    {
+        flow_state added;
+        added.sequence = syn.sequence;
+        added.expected = bulk ? decision.expected_bytes : 0;
+        added.last_packet = now;
+        flows_[syn.flow] = added;
+    }
     return decision;
 }
 
@@ -223,14 +229,20 @@
     flow.last_packet = now;
     const auto end = packet.sequence + packet.data_size;
     const bool has_news =
-        packet.data_size > 0 && (flow.end == 0 || is_after(end, flow.end));
+        packet.data_size > 0 && (!flow.end || is_after(end, *flow.end));
     if (has_news)
     {
-        if (pause && flow.sent > 0)
+        // A stall is no end: the upstream has answered in between.
+        const bool answered = packet.acknowledged != flow.acknowledged;
+        if (pause && answered && flow.sent > 0)
         {
             learn(packet.flow.destination, flow.sent);
             flow.sent = 0;
         }
+        if (flow.sent == 0)
+        {
+            flow.acknowledged = packet.acknowledged;
+        }
         flow.end = end;
         const double bytes = packet.data_size + settings_.packet_overhead;
         flow.sent += bytes;
@@ -271,7 +283,7 @@
 {
     std::erase_if(
         flows_, [&](const auto& each)
-        { return now - each.second.last_packet >= settings_.idle_limit; });
+        { return now - each.second.last_packet >= settings_.flow_lifetime; });
 }
 
 } // namespace boragestand::traffic
--- a/src/traffic/link_admission.hpp
+++ b/src/traffic/link_admission.hpp
@@ -22,6 +22,10 @@
     /// A bulk flow without packets for this long is committed no longer:
     /// callers retransmit after 1.6 s at most.
     duration idle_limit{std::chrono::seconds(2)};
+    /// A flow is forgotten after this time, like its record in the router.
+    duration flow_lifetime{std::chrono::seconds(20)};
+    /// Further flows are admitted and not followed.
+    std::size_t max_flows{200000};
     /// Objective of routes that state none.
     duration default_target_latency{std::chrono::seconds(1)};
     /// After this time without an empty socket the processor is behind, and
@@ -61,8 +65,9 @@
 /// answers a wave of uploads: if all are let in, they share the link, none is
 /// through before its deadline, and the bytes of those that fail take the room
 /// of those that could finish. A caller that is refused at once can try through
-/// another instance. Short requests are always admitted, and so is any flow
-/// while the link is free. Does no I/O and reads no clock.
+/// another instance. Flows of routes whose requests are short
+/// on average are always admitted, and so is any flow while the link is free.
+/// Does no I/O and reads no clock.
 class link_admission
 {
 public:
@@ -79,6 +84,9 @@
     /// The socket has not been empty for this long.
     void report_lag(duration lag, time_point now);
 
+    /// The flow was admitted and not forwarded.
+    void forget(const token_flow& flow) { flows_.erase(flow); }
+
     /// Forgets flows that are idle; to be called about once a second.
     void sweep(time_point now);
 
@@ -97,10 +105,11 @@
 private:
     struct flow_state
     {
-        std::uint32_t sequence{0}; ///< of the SYN
-        double expected{0};        ///< bytes on the link; 0: short
-        double sent{0};            ///< of the request in progress
-        std::uint32_t end{0};      ///< sequence after its last data
+        std::uint32_t sequence{0};        ///< of the SYN
+        double expected{0};               ///< bytes on the link; 0: short
+        double sent{0};                   ///< of the request in progress
+        std::optional<std::uint32_t> end; ///< sequence after its last data
+        std::uint32_t acknowledged{0};    ///< when the request began
         time_point last_packet;
     };
 
--- a/src/traffic/load_tracker.cpp
+++ b/src/traffic/load_tracker.cpp
@@ -44,9 +44,9 @@
         progress.running = false;
     }
     const auto end = packet.sequence + packet.data_size;
-    const bool has_news = packet.data_size > 0 &&
-                          (progress.end == 0 || is_after(end, progress.end));
-    if (!has_news)
+    const bool has_new_data =
+        packet.data_size > 0 && (!progress.end || is_after(end, *progress.end));
+    if (!has_new_data)
     {
         return;
     }
--- a/src/traffic/load_tracker.hpp
+++ b/src/traffic/load_tracker.hpp
@@ -11,10 +11,10 @@
 struct request_progress
 {
     bool running{false};
-    bool reported{false};          ///< counted as unanswered already
-    time_point since;              ///< its last new packet of data
-    std::uint32_t end{0};          ///< sequence after its last data
-    std::uint32_t acknowledged{0}; ///< by the caller when it began
+    bool reported{false};             ///< counted as unanswered already
+    time_point since;                 ///< its last new packet of data
+    std::optional<std::uint32_t> end; ///< sequence after its last data
+    std::uint32_t acknowledged{0};    ///< by the caller when it began
 
     auto operator<=>(const request_progress&) const = default;
 };
--- a/src/traffic/recovery_pace.cpp
+++ b/src/traffic/recovery_pace.cpp
@@ -10,7 +10,7 @@
 
 constexpr double factor = 2.0;
 
-// Fewer answers in a picture say nothing about an upstream.
+// Fewer answers in an aggregate say nothing about an upstream.
 constexpr double min_answers = 0.5;
 
 } // namespace
--- a/src/traffic/recovery_pace.hpp
+++ b/src/traffic/recovery_pace.hpp
@@ -9,11 +9,11 @@
 
 /// Slow start of upstreams that have just started or recovered. It answers the
 /// load of releases, flapping upstreams and returns after a failure: an
-/// upstream that is given its whole share at once is flooded while it is cold,
-/// one that is held back for a fixed time stays idle. Each picture of the load
-/// doubles or halves the share, by how the upstream has answered compared with
-/// the others of its service. Computed from joined load, so that all entry
-/// instances come to about the same share. Reads no clock.
+/// upstream that is given its whole share at once is overloaded while it is
+/// cold, one that is held back for a fixed time stays idle. Each aggregate of
+/// the load doubles or halves the share, by how the upstream has answered
+/// compared with the others of its service. Computed from joined load, so that
+/// all entry instances come to about the same share. Reads no clock.
 class recovery_pace
 {
 public:
@@ -36,7 +36,7 @@
         recovering_[upstream] = {first_share, now};
     }
 
-    /// Takes a new picture. usual_ms is the usual service time of warm
+    /// Takes a new aggregate. usual_ms is the usual service time of warm
     /// upstreams of its service; 0 if it is not known.
     void step(const loaded_upstream& upstream, const joined_load& load,
               double usual_ms, time_point now);
--- a/src/traffic/token_router.cpp
+++ b/src/traffic/token_router.cpp
@@ -174,7 +174,7 @@
         return false;
     }
     const auto& tried = record.tried_upstreams;
-    return record.phase != flow_phase::ended ||
+    return record.phase == flow_phase::opening ||
            std::find(tried.begin(), tried.end(), named->record.id) !=
                tried.end();
 }
@@ -187,7 +187,11 @@
     {
         if (record != nullptr)
         {
-            end_request(*record, now);
+            // A caller that sends no more may still wait for its answer.
+            if (packet.rst)
+            {
+                end_request(*record, now);
+            }
             stop_counting(*record);
             flows_.erase(packet.flow);
         }
@@ -214,7 +218,7 @@
         ++counters_.unanswered;
         pool_.record_unanswered_syn(*upstream, record.last_syn, now);
         // While this instance is behind, answers may wait to be read.
-        if (now - last_backlog_ >= backlog_memory)
+        if (settings_.joins_load && now - last_backlog_ >= backlog_memory)
         {
             tracker_.add_unanswered(record.token);
         }
@@ -263,7 +267,7 @@
                                   candidates, basis);
     if (upstream == nullptr)
     {
-        return refuse(service, now);
+        return refuse(service);
     }
     forward_packet decision{upstream->record.id,  upstream->record.address,
                             upstream->token,      reason,
@@ -289,9 +293,9 @@
 
 // A gap in the list of upstreams is mostly shorter than the callers' pauses
 // between SYNs; an evacuation lasts longer than callers wait.
-token_decision token_router::refuse(const std::string& service, time_point now)
+token_decision token_router::refuse(const std::string& service)
 {
-    if (settings_.may_refuse && pool_.is_evacuated(service, now))
+    if (settings_.may_refuse && pool_.is_evacuated(service))
     {
         ++counters_.evacuated;
         return reset_caller{reset_reason::evacuated};
@@ -362,6 +366,7 @@
     }
     std::erase(placed->unanswered, record.last_syn);
     stop_counting(record);
+    record.tried_upstreams.push_back(record.upstream);
     assign(record, *answered);
     record.counted_as_open = true;
     ++answered->open_flows;
@@ -371,7 +376,7 @@
 void token_router::follow_request(const token_packet& packet,
                                   flow_record& record, time_point now)
 {
-    if (settings_.joins_load && record.phase == flow_phase::open)
+    if (settings_.joins_load && record.phase != flow_phase::opening)
     {
         tracker_.follow(record.request, record.token, packet, now);
     }
--- a/src/traffic/token_router.hpp
+++ b/src/traffic/token_router.hpp
@@ -45,10 +45,10 @@
         pool_.apply(grants, now);
     }
 
-    /// Applies a picture of the load over all entry instances.
-    void apply(const coordination::evidence_report& picture, time_point now)
+    /// Applies an aggregate of the load over all entry instances.
+    void apply(const coordination::evidence_report& aggregate, time_point now)
     {
-        pool_.apply(picture, now);
+        pool_.apply(aggregate, now);
     }
 
     /// What this instance has measured of upstreams since the last call.
@@ -142,7 +142,7 @@
     token_decision continue_flow(const token_packet& packet, time_point now);
     token_decision forward_by_token(const token_packet& packet);
     token_decision drop(token_drop_reason reason);
-    token_decision refuse(const std::string& service, time_point now);
+    token_decision refuse(const std::string& service);
     void complete_handshake(const token_packet& packet, flow_record& record,
                             time_point now);
     void abandon_attempt(flow_record& record, time_point now);
--- a/src/traffic/upstream_load.cpp
+++ b/src/traffic/upstream_load.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-// Weight of a new picture against all before it.
+// Weight of a new aggregate against all before it.
 constexpr double smoothing = 0.5;
 
 // An upstream with less than this in all respects is forgotten.
@@ -39,24 +39,24 @@
     return load.answer_ms / std::max(queue, 1.0);
 }
 
-void upstream_load::apply(const coordination::evidence_report& picture,
+bool upstream_load::apply(const coordination::evidence_report& aggregate,
                           time_point now)
 {
-    // Pictures of one control instance come in order; those of another one
+    // Aggregates of one control instance come in order; those of another one
     // after a change of source are newer.
-    if (picture.writer == writer_ && picture.sequence <= sequence_)
+    if (aggregate.writer == writer_ && aggregate.sequence <= sequence_)
     {
-        return;
+        return false;
     }
-    writer_ = picture.writer;
-    sequence_ = picture.sequence;
+    writer_ = aggregate.writer;
+    sequence_ = aggregate.sequence;
     if (!is_usable(now))
     {
         loads_.clear();
     }
     updated_ = now;
     std::unordered_map<routing_token, joined_load> measured;
-    for (const auto& each : picture.upstreams)
+    for (const auto& each : aggregate.upstreams)
     {
         measured[each.token] = measured_load(each);
         loads_.try_emplace(each.token, measured[each.token]);
@@ -79,6 +79,7 @@
                                load.failing < negligible;
         it = forgotten ? loads_.erase(it) : std::next(it);
     }
+    return true;
 }
 
 std::optional<duration> upstream_load::age(time_point now) const
--- a/src/traffic/upstream_load.hpp
+++ b/src/traffic/upstream_load.hpp
@@ -34,22 +34,22 @@
 /// would be taken for slow.
 double service_ms(const joined_load& load, std::uint32_t slots);
 
-/// An entry instance's view of the load of all upstreams, from the pictures
-/// that control instances join. Each picture counts as much as all before it
+/// An entry instance's view of the load of all upstreams, from the aggregates
+/// that control instances join. Each aggregate counts as much as all before it
 /// together, so that a change shows within two of them. A view that gets no
-/// more pictures is of no use after max_age and then says so.
+/// more aggregates is of no use after max_age and then says so.
 class upstream_load
 {
 public:
     static constexpr duration max_age = std::chrono::seconds(3);
 
-    /// Takes a picture.
-    void apply(const coordination::evidence_report& picture, time_point now);
+    /// Takes an aggregate. Returns false if it is late and was ignored.
+    bool apply(const coordination::evidence_report& aggregate, time_point now);
 
-    /// Time since the last picture; none before the first.
+    /// Time since the last aggregate; none before the first.
     std::optional<duration> age(time_point now) const;
 
-    /// Whether a picture is recent enough to be used.
+    /// Whether an aggregate is recent enough to be used.
     bool is_usable(time_point now) const;
 
     /// Load of an upstream; zeros if nothing is known of it.
--- a/src/traffic/upstream_pool.cpp
+++ b/src/traffic/upstream_pool.cpp
@@ -57,11 +57,13 @@
     const auto token = make_routing_token(record.id, record.incarnation);
     const auto found = members_.find(record.id);
     bool was_lost = false;
+    bool was_cold = false;
     if (found != members_.end())
     {
         auto& known = found->second;
         was_lost =
             known.record.condition == coordination::upstream_condition::lost;
+        was_cold = known.token == token && now < known.warmup_ends_at;
         if (is_older(record, known.record))
         {
             return;
@@ -70,6 +72,7 @@
         if (known.token != token)
         {
             remember_former(known, record, now);
+            pace_.forget(known.token);
             known = {};
         }
     }
@@ -85,7 +88,8 @@
     add_to_indexes(target);
     const bool returns =
         was_lost && record.condition == coordination::upstream_condition::ready;
-    if (settings_.joins_load && (record.warmup_left_ms > 0 || returns))
+    const bool turns_cold = record.warmup_left_ms > 0 && !was_cold;
+    if (settings_.joins_load && (turns_cold || returns))
     {
         pace_.begin(token, now);
     }
@@ -196,8 +200,7 @@
             warmup_rates_.contains(candidate.record.service));
 }
 
-bool upstream_pool::is_evacuated(const std::string& service,
-                                 time_point now) const
+bool upstream_pool::is_evacuated(const std::string& service) const
 {
     const auto ids = by_service_.find(service);
     if (ids == by_service_.end())
@@ -207,12 +210,13 @@
     bool any = false;
     for (const auto id : ids->second)
     {
-        const auto found = members_.find(id);
-        if (found == members_.end() || !is_in_use(found->second))
+        const auto* const candidate = find(id);
+        if (candidate == nullptr || !is_in_use(*candidate))
         {
             continue;
         }
-        if (!is_evacuated(found->second, now))
+        const auto evacuated = evacuations_.find(candidate->data_centre);
+        if (evacuated == evacuations_.end() || !evacuated->second.active)
         {
             return false;
         }
@@ -350,27 +354,34 @@
     {
         constexpr double thousand = 1000.0;
         const auto until = now + std::chrono::milliseconds(grant.lifetime_ms);
+        const double rate = grant.requests_per_1000_s / thousand;
         const auto held = grants_.find(grant.upstream);
+        if (held != grants_.end() &&
+            held->second.incarnation > grant.incarnation)
+        {
+            continue;
+        }
         // A renewal must not fill the bucket again.
         if (held != grants_.end() &&
             held->second.incarnation == grant.incarnation)
         {
+            held->second.requests.set_rate(rate, now);
             held->second.until = until;
             continue;
         }
         grants_.insert_or_assign(
-            grant.upstream,
-            held_grant{
-                grant.incarnation,
-                token_bucket(grant.requests_per_1000_s / thousand, grant.burst),
-                until});
+            grant.upstream, held_grant{grant.incarnation,
+                                       token_bucket(rate, grant.burst), until});
     }
 }
 
-void upstream_pool::apply(const coordination::evidence_report& picture,
+void upstream_pool::apply(const coordination::evidence_report& aggregate,
                           time_point now)
 {
-    load_.apply(picture, now);
+    if (!load_.apply(aggregate, now))
+    {
+        return;
+    }
     for (const auto& [service, members] : by_service_)
     {
         step_slow_starts(members, now);
@@ -577,8 +588,12 @@
 
 void upstream_pool::expire(time_point now)
 {
-    std::erase_if(former_tokens_,
-                  [now](const auto& each) { return now >= each.second.until; });
+    const auto has_expired = [now](const auto& each)
+    {
+        return now >= each.second.until;
+    };
+    std::erase_if(former_tokens_, has_expired);
+    std::erase_if(grants_, has_expired);
     for (auto it = members_.begin(); it != members_.end();)
     {
         if (!is_forgotten(it->second, now))
--- a/src/traffic/upstream_pool.hpp
+++ b/src/traffic/upstream_pool.hpp
@@ -58,8 +58,8 @@
     void apply(const std::vector<coordination::warmup_grant>& grants,
                time_point now);
 
-    /// Applies a picture of the load over all entry instances.
-    void apply(const coordination::evidence_report& picture, time_point now);
+    /// Applies an aggregate of the load over all entry instances.
+    void apply(const coordination::evidence_report& aggregate, time_point now);
 
     load_summary load_summary_at(time_point now) const;
 
@@ -69,7 +69,7 @@
 
     /// Whether the service has upstreams that are ready and all of them are in
     /// evacuated data centres.
-    bool is_evacuated(const std::string& service, time_point now) const;
+    bool is_evacuated(const std::string& service) const;
 
     /// The upstream that a token names, or null.
     member* find_by_token(routing_token token);
--- a/src/traffic/upstream_selection.cpp
+++ b/src/traffic/upstream_selection.cpp
@@ -16,12 +16,12 @@
 // of requests varies.
 constexpr double normal_slowness = 1.5;
 
-// Fewer answers in a picture say little about the usual speed of a service.
+// Fewer answers in an aggregate say little about the usual speed of a service.
 constexpr double min_answers = 3.0;
 
-// How fast the weight of an upstream falls with its use. Pictures are one to
+// How fast the weight of an upstream falls with its use. Aggregates are one to
 // two seconds old: a steeper fall makes all instances send to the same
-// upstreams and swing from one picture to the next.
+// upstreams and swing from one aggregate to the next.
 constexpr double steepness = 1.0;
 
 // Requests that wait count like those that run, so an upstream with a queue
@@ -40,7 +40,7 @@
 constexpr double warm_use_limit = 0.8;
 
 // More than this part of a service cannot be set aside as suspect: the rest
-// would be overrun, and a common cause is more likely.
+// would be overloaded, and a common cause is more likely.
 constexpr double max_suspects = 1.0 / 3.0;
 
 // Added to the score of one of two choices.
--- a/src/transport/http1_connection.cpp
+++ b/src/transport/http1_connection.cpp
@@ -147,8 +147,11 @@
         close();
         return;
     }
-    keep_alive_ = false;
-    close_after_send_ = close_after_send_ || !handling_request_;
+    if (input_.empty())
+    {
+        keep_alive_ = false;
+        close_after_send_ = close_after_send_ || !handling_request_;
+    }
     update_watch();
 }
 
@@ -273,6 +276,7 @@
                 if (const auto self = weak.lock())
                 {
                     self->parse();
+                    self->finish_input();
                 }
             });
     }
--- a/tests/fleet/evacuation_test.cpp
+++ b/tests/fleet/evacuation_test.cpp
@@ -114,10 +114,10 @@
                               [](const result<void>&) {});
     fleet_.run_for(200ms);
     fleet_.kill(leading);
-    ASSERT_TRUE(fleet_.evacuate("a", true));
     const auto entry = fleet_.make_entry();
     ASSERT_TRUE(fleet_.run_until([&] { return entry->is_ready(); }));
     EXPECT_TRUE(fleet_.run_until([&] { return places_only_on(*entry, 2); }));
+    EXPECT_TRUE(fleet_.evacuate("a", true));
 }
 
 // Guards against an acknowledged evacuation that is forgotten when all
--- a/tests/tokens/load_evidence_test.cpp
+++ b/tests/tokens/load_evidence_test.cpp
@@ -24,10 +24,10 @@
         {writer, sequence, {{7, busy, 10, 40, 2}}});
 }
 
-evidence_report picture_of(load_exchange& exchange, time_point now,
-                           const transport::endpoint& receiver = first_entry)
+evidence_report aggregate_of(load_exchange& exchange, time_point now,
+                             const transport::endpoint& receiver = first_entry)
 {
-    const auto text = exchange.make_picture(receiver, now);
+    const auto text = exchange.make_aggregate(receiver, now);
     return text.empty() ? evidence_report{}
                         : *coordination::decode_evidence(text);
 }
@@ -139,11 +139,11 @@
     ASSERT_TRUE(there.take_entry_report(second_entry, report(2, 1, 70), start));
     ASSERT_TRUE(here.take_control_sum(
         other_control, there.make_sum(first_entry, start), start));
-    const auto picture = picture_of(here, start);
-    ASSERT_EQ(picture.upstreams.size(), 1U);
-    EXPECT_EQ(picture.upstreams[0].busy_percent, 120U);
-    EXPECT_EQ(picture.upstreams[0].answers, 20U);
-    EXPECT_EQ(picture.upstreams[0].answer_ms, 40U);
+    const auto aggregate = aggregate_of(here, start);
+    ASSERT_EQ(aggregate.upstreams.size(), 1U);
+    EXPECT_EQ(aggregate.upstreams[0].busy_percent, 120U);
+    EXPECT_EQ(aggregate.upstreams[0].answers, 20U);
+    EXPECT_EQ(aggregate.upstreams[0].answer_ms, 40U);
     // What came from there is not sent back.
     const auto sum =
         *coordination::decode_evidence(here.make_sum(other_control, start));
@@ -157,23 +157,24 @@
     load_exchange exchange(1);
     exchange.take_entry_report(first_entry, report(1, 5, 50), start);
     exchange.take_entry_report(first_entry, report(1, 4, 90), start);
-    EXPECT_EQ(picture_of(exchange, start).upstreams[0].busy_percent, 50U);
+    EXPECT_EQ(aggregate_of(exchange, start).upstreams[0].busy_percent, 50U);
     exchange.take_entry_report(first_entry, report(2, 1, 30), start + 1s);
-    EXPECT_EQ(picture_of(exchange, start + 1s).upstreams[0].busy_percent, 30U);
+    EXPECT_EQ(aggregate_of(exchange, start + 1s).upstreams[0].busy_percent,
+              30U);
     EXPECT_TRUE(
-        picture_of(exchange, start + 5s, second_entry).upstreams.empty());
+        aggregate_of(exchange, start + 5s, second_entry).upstreams.empty());
     EXPECT_FALSE(exchange.take_entry_report(first_entry, "nonsense", start));
 }
 
-// Guards against more than one picture a second for an instance.
-TEST(load_exchange, sends_no_more_than_one_picture_a_second)
+// Guards against more than one aggregate a second for an instance.
+TEST(load_exchange, sends_no_more_than_one_aggregate_a_second)
 {
     load_exchange exchange(1);
     exchange.take_entry_report(first_entry, report(1, 5, 50), start);
-    EXPECT_FALSE(exchange.make_picture(first_entry, start).empty());
-    EXPECT_TRUE(exchange.make_picture(first_entry, start + 500ms).empty());
-    EXPECT_FALSE(exchange.make_picture(second_entry, start + 500ms).empty());
-    EXPECT_FALSE(exchange.make_picture(first_entry, start + 900ms).empty());
+    EXPECT_FALSE(exchange.make_aggregate(first_entry, start).empty());
+    EXPECT_TRUE(exchange.make_aggregate(first_entry, start + 500ms).empty());
+    EXPECT_FALSE(exchange.make_aggregate(second_entry, start + 500ms).empty());
+    EXPECT_FALSE(exchange.make_aggregate(first_entry, start + 900ms).empty());
 }
 
 // Guards against a view that is used although nothing has confirmed it.
@@ -185,7 +186,7 @@
     EXPECT_TRUE(view.is_usable(start + 3s));
     EXPECT_FALSE(view.is_usable(start + 4s));
     EXPECT_DOUBLE_EQ(view.of(7).busy, 2.0);
-    // After a gap the former picture does not count any more.
+    // After a gap the former aggregate does not count any more.
     view.apply({1, 2, {{8, 100, 10, 40, 0}}}, start + 10s);
     EXPECT_EQ(view.find(7), nullptr);
 }
--- a/tests/tokens/load_replay.cpp
+++ b/tests/tokens/load_replay.cpp
@@ -54,7 +54,7 @@
     std::deque<double> ends_;
 };
 
-/// What a picture tells of one upstream and interval.
+/// What an aggregate tells of one upstream and interval.
 struct measured
 {
     double busy{0};
@@ -112,14 +112,14 @@
             return;
         }
         // What is joined now was measured in the interval before.
-        load_view_.apply(picture_, at(now));
+        load_view_.apply(aggregate_, at(now));
         step_slow_starts(at(now));
-        picture_ = {1, ++sequence_, {}};
+        aggregate_ = {1, ++sequence_, {}};
         for (std::size_t i = 0; i < measured_.size(); ++i)
         {
             auto& each = measured_[i];
             const auto answers = std::max<std::uint32_t>(each.answers, 1);
-            picture_.upstreams.push_back(
+            aggregate_.upstreams.push_back(
                 {token(i), static_cast<std::uint32_t>(100 * each.busy),
                  each.answers,
                  static_cast<std::uint32_t>(each.answer_ms / answers),
@@ -258,7 +258,7 @@
         open_;
     upstream_load load_view_;
     recovery_pace pace_;
-    coordination::evidence_report picture_;
+    coordination::evidence_report aggregate_;
     std::uint64_t sequence_{0};
     double interval_end_{1.0};
     double requests_{0};
--- a/tests/tokens/load_replay.hpp
+++ b/tests/tokens/load_replay.hpp
@@ -41,7 +41,7 @@
 };
 
 /// Plays single requests of callers against upstreams with two slots and a
-/// queue of eight. Pictures of the load are joined each second and reach the
+/// queue of eight. Aggregates of the load are joined each second and reach the
 /// instances a second later. joined selects by them, otherwise each instance by
 /// its own flows.
 replay_result replay(const replayed_load& load, bool joined);
--- a/tests/tokens/slow_start_test.cpp
+++ b/tests/tokens/slow_start_test.cpp
@@ -22,12 +22,12 @@
     return {1.0, 10.0, answer_ms, 0.0};
 }
 
-/// Shares after each of some pictures.
+/// Shares after each of some aggregates.
 std::vector<double> shares(recovery_pace& pace, const joined_load& load,
-                           int pictures, double usual_ms = 50)
+                           int aggregates, double usual_ms = 50)
 {
     std::vector<double> seen;
-    for (int i = 1; i <= pictures; ++i)
+    for (int i = 1; i <= aggregates; ++i)
     {
         pace.step({upstream, 2}, load, usual_ms, start + i * 1s);
         seen.push_back(pace.share(upstream));
@@ -74,8 +74,8 @@
     EXPECT_FALSE(pace.is_recovering(upstream));
 }
 
-// Guards against an upstream that is flooded while it is five times as slow, or
-// that claims to be warm and is not.
+// Guards against an upstream that is overloaded while it is five times as slow,
+// or that claims to be warm and is not.
 TEST(recovery_pace, holds_back_an_upstream_that_stays_slow)
 {
     recovery_pace pace;
@@ -206,16 +206,74 @@
 TEST(warmup_granter, grants_nothing_without_a_reason)
 {
     warmup_granter granter({1.5, 5.0}, start);
-    granter.observe(cold_upstream(1, 20000), 20000, start);
-    EXPECT_TRUE(granter.grants_for(entry(1), entries(1), start + 1s).empty());
-    granter.observe(cold_upstream(1, 20000), 20000, start + 1500ms);
-    EXPECT_EQ(granter.grants_for(entry(1), entries(1), start + 1500ms).size(),
-              1U);
+    granter.observe(cold_upstream(1, 20000), 20000, start + 2s);
+    EXPECT_TRUE(
+        granter.grants_for(entry(1), entries(1), start + 2900ms).empty());
+    granter.observe(cold_upstream(1, 20000), 20000, start + 3s);
+    EXPECT_EQ(granter.grants_for(entry(1), entries(1), start + 3s).size(), 1U);
     EXPECT_TRUE(
-        granter.grants_for(entry(1), entries(1), start + 3100ms).empty());
-    granter.observe(cold_upstream(2, 0), 20000, start + 3s);
-    granter.observe(cold_upstream(3, 2000), 0, start + 3s);
-    EXPECT_EQ(granter.size(), 0U);
+        granter.grants_for(entry(1), entries(1), start + 4600ms).empty());
+    granter.observe(cold_upstream(2, 0), 20000, start + 5s);
+    granter.observe(cold_upstream(3, 2000), 0, start + 5s);
+    EXPECT_TRUE(granter.grants_for(entry(1), entries(1), start + 5s).empty());
+}
+
+// Guards against more holders than the bound allows after a lost heartbeat, a
+// lower rate, or other entry instances.
+TEST(warmup_granter, counts_holders_until_their_grants_have_run_out)
+{
+    warmup_granter granter({1.5, 5.0}, start - 10s);
+    granter.observe(cold_upstream(1, 20000), 20000, start);
+    const auto count_holders = [&](std::uint32_t first, time_point now)
+    {
+        auto known = entries(8);
+        for (auto& each : known)
+        {
+            each.address += first - 1;
+        }
+        std::size_t count = 0;
+        for (const auto& each : known)
+        {
+            count += granter.grants_for(each, known, now).size();
+        }
+        return count;
+    };
+    EXPECT_EQ(count_holders(1, start + 1400ms), 4U);
+    EXPECT_EQ(count_holders(1, start + 2s), 0U);
+    granter.observe(cold_upstream(1, 20000), 20000, start + 2400ms);
+    EXPECT_EQ(count_holders(101, start + 2400ms), 0U);
+    EXPECT_EQ(count_holders(1, start + 2400ms), 4U);
+    granter.observe(cold_upstream(1, 20000), 2000, start + 2500ms);
+    EXPECT_EQ(count_holders(1, start + 2500ms), 1U);
+    // A rate that allows less than one request at once.
+    warmup_granter strict({1.0, 0.0}, start - 10s);
+    strict.observe(cold_upstream(1, 20000), 1000, start);
+    EXPECT_TRUE(strict.grants_for(entry(1), entries(1), start).empty());
+}
+
+// Guards against a slow start that begins anew with each record of an upstream
+// that stays cold, and against former starts that are remembered for ever.
+TEST(slow_start, begins_once_for_each_start)
+{
+    token_router_settings settings;
+    settings.joins_load = true;
+    const load_tracker tracker;
+    upstream_pool pool(settings, tracker);
+    auto record = cold_upstream(1, 60000);
+    record.sequence = 1;
+    pool.apply({record}, false, start);
+    EXPECT_EQ(pool.load_summary_at(start).recovering, 1U);
+    pool.apply(coordination::evidence_report{1, 1, {}}, start + 2s);
+    pool.apply(coordination::evidence_report{1, 2, {}}, start + 3s);
+    EXPECT_EQ(pool.load_summary_at(start).recovering, 0U);
+    record.sequence = 2;
+    pool.apply({record}, false, start + 4s);
+    EXPECT_EQ(pool.load_summary_at(start).recovering, 0U);
+    record.incarnation = 2000;
+    pool.apply({record}, false, start + 5s);
+    record.incarnation = 3000;
+    pool.apply({record}, false, start + 6s);
+    EXPECT_EQ(pool.load_summary_at(start).recovering, 1U);
 }
 
 } // namespace boragestand::traffic
--- a/tests/tokens/upstream_selection_test.cpp
+++ b/tests/tokens/upstream_selection_test.cpp
@@ -58,8 +58,8 @@
     EXPECT_LT(replay(make_load(0.3, {0.4, 0.35, 0.25}), true).remote, 0.05);
 }
 
-// Guards against instances that all follow the same old picture and swing from
-// one group of upstreams to another.
+// Guards against instances that all follow the same old aggregate and swing
+// from one group of upstreams to another.
 TEST(upstream_selection, does_not_swing_at_high_load)
 {
     const auto load = make_load(0.9, {0.34, 0.33, 0.33});
@@ -101,7 +101,7 @@
     EXPECT_GT(own.failed, joined.failed);
 }
 
-// Guards against suspicion of so many upstreams that the rest is overrun.
+// Guards against suspicion of so many upstreams that the rest is overloaded.
 TEST(upstream_selection, keeps_using_suspects_if_there_are_many)
 {
     auto load = make_load(0.6, {0.34, 0.33, 0.33});
@@ -112,7 +112,7 @@
     EXPECT_LT(replay(load, true).rejected, 0.03);
 }
 
-// Guards against a release that overruns the upstreams that are warm: a third
+// Guards against a release that overloads the upstreams that are warm: a third
 // of the service is cold at once, at one and a half times the usual demand.
 TEST(upstream_selection, serves_demand_while_a_third_is_cold)
 {
@@ -135,7 +135,7 @@
 {
     upstream_load view;
     recovery_pace pace;
-    coordination::evidence_report picture{1, 1, {}};
+    coordination::evidence_report aggregate{1, 1, {}};
     std::vector<selection_candidate> candidates;
     const auto count = *rc::gen::inRange<std::uint32_t>(1, 12);
     for (std::uint32_t i = 0; i < count; ++i)
@@ -147,13 +147,13 @@
         each.avoided = *rc::gen::arbitrary<bool>();
         each.slots = *rc::gen::inRange<std::uint32_t>(0, 5);
         candidates.push_back(each);
-        picture.upstreams.push_back({each.token,
-                                     *rc::gen::inRange<std::uint32_t>(0, 2000),
-                                     *rc::gen::inRange<std::uint32_t>(0, 50),
-                                     *rc::gen::inRange<std::uint32_t>(0, 5000),
-                                     *rc::gen::inRange<std::uint32_t>(0, 50)});
+        aggregate.upstreams.push_back(
+            {each.token, *rc::gen::inRange<std::uint32_t>(0, 2000),
+             *rc::gen::inRange<std::uint32_t>(0, 50),
+             *rc::gen::inRange<std::uint32_t>(0, 5000),
+             *rc::gen::inRange<std::uint32_t>(0, 50)});
     }
-    view.apply(picture, time_point(1h));
+    view.apply(aggregate, time_point(1h));
     const auto selected =
         select_upstream(select_by_joined_load{&view, &pace}, candidates,
                         *rc::gen::arbitrary<std::uint64_t>());
