--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -108,14 +108,20 @@
                 f"{self.address}:{CALLS}" if control else "",
             "Bootstrap": first_start, "DataDir": self.data if control else "",
             "HeartbeatMs": int(HEARTBEAT_S * 1000), "Limits.LinkMbps": 1000.0,
+            "Limits.MemoryMb": 256, "Limits.DiskMb": 128,
+            "Bounds.WarmupOverrun": "", "Bounds.WarmupSlack": "",
         }
         with open(f"{ROOT}/deploy/settings.yaml.in", encoding="utf-8") as file:
             template = file.read()
+        zones = sorted({each.zone for each in self.world.controls})
+        lists = {"Seeds": seeds, "Zones": zones,
+                 "Contracts": ["base", "drain", "config", "flows"]}
         template = re.sub(
-            r"\{\{#Seeds\}\}\n(.*?)\{\{/Seeds\}\}\n",
+            r"\{\{#(\w+)\}\}\n(.*?)\{\{/\1\}\}\n",
             lambda part: "".join(
-                part.group(1).replace("{{.|json}}", json.dumps(seed))
-                for seed in seeds), template, flags=re.S)
+                part.group(2).replace("{{.|json}}", json.dumps(each))
+                .replace("{{@}}", each) for each in lists[part.group(1)]),
+            template, flags=re.S)
 
         def fill(match):
             value = values[match.group(1)]
