--- a/src/document/mapping_reader.cpp
+++ b/src/document/mapping_reader.cpp
@@ -261,6 +261,11 @@
     {
         return false;
     }
+    // A settings template leaves a list without entries null.
+    if (wanted == presence::optional && node->IsNull())
+    {
+        return false;
+    }
     if (!node->IsSequence())
     {
         add_invalid_value(key, *node, "a list");
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -1,12 +1,9 @@
 #include "fleet/control_node.hpp"
 
-#include "document/document.hpp"
 #include "fleet/fleet_times.hpp"
 #include "state/command_http.hpp"
 
 #include <algorithm>
-#include <filesystem>
-#include <limits>
 #include <random>
 #include <utility>
 
@@ -49,15 +46,6 @@
     return replication;
 }
 
-std::uint32_t bounded_ms(duration span)
-{
-    const auto milliseconds =
-        std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
-    constexpr std::int64_t longest = std::numeric_limits<std::uint32_t>::max();
-    return static_cast<std::uint32_t>(
-        std::clamp<std::int64_t>(milliseconds, 0, longest));
-}
-
 } // namespace
 
 result<std::unique_ptr<control_node>>
@@ -359,60 +347,6 @@
     saved_evacuations_ = std::move(notices);
 }
 
-// The register does not hold times, so the end counts from when it became known
-// here.
-void control_node::record_ended_evacuations()
-{
-    for (const auto& [data_centre, entry] : machine_.evacuations().entries())
-    {
-        const auto known = evacuations_ended_.find(data_centre);
-        const bool is_new = known == evacuations_ended_.end() ||
-                            known->second.index != entry.index;
-        if (!entry.active && is_new)
-        {
-            evacuations_ended_[data_centre] = {entry.index, timers_.now()};
-        }
-    }
-}
-
-// As with the plan, the saved evacuations may be newer than those known to be
-// committed.
-std::vector<coordination::evacuation_notice> control_node::evacuations() const
-{
-    const auto now = timers_.now();
-    auto notices = saved_evacuations_;
-    std::vector<coordination::evacuation_notice> committed;
-    for (const auto& [data_centre, entry] : machine_.evacuations().entries())
-    {
-        committed.push_back({data_centre, entry.active, entry.index, 0});
-    }
-    coordination::merge_evacuations(notices, committed);
-    for (auto& notice : notices)
-    {
-        const auto ended = evacuations_ended_.find(notice.data_centre);
-        if (!notice.active && ended != evacuations_ended_.end())
-        {
-            notice.ended_ms = bounded_ms(now - ended->second.at);
-        }
-    }
-    return notices;
-}
-
-// A data centre that was evacuated stays known, so that the order can be resent
-// and revoked after its upstreams are gone.
-bool control_node::is_known_data_centre(const std::string& name) const
-{
-    if (document::check_name(name))
-    {
-        return false;
-    }
-    const auto& listed = settings_.data_centres;
-    return listed.empty() ||
-           std::find(listed.begin(), listed.end(), name) != listed.end() ||
-           machine_.evacuations().entries().contains(name) ||
-           registry_.has_data_centre(name);
-}
-
 // Before the group has a leader, the saved plan may be newer than the plan
 // known to be committed.
 std::shared_ptr<const state::routing_plan> control_node::newest_plan() const
@@ -573,38 +507,6 @@
         });
 }
 
-// Each order goes through the log: an instance that is no longer the leader may
-// hold an older state and must not answer from it.
-void control_node::submit(const state::evacuation_order& order,
-                          done_callback callback)
-{
-    if (!runner_->is_leader())
-    {
-        callback(failure(error_kind::not_leader, "another instance leads"));
-        return;
-    }
-    if (!is_known_data_centre(order.data_centre))
-    {
-        callback(
-            failure(error_kind::not_found,
-                    "data centre \"" + order.data_centre + "\" is not known"));
-        return;
-    }
-    runner_->submit(
-        state::encode_command(order),
-        [this, callback = std::move(callback), order,
-         started = timers_.now()](const result<std::uint64_t>& index)
-        {
-            log_.evacuation_answered(
-                order,
-                index ? "acknowledged"
-                      : error_info_for(index.error().kind).name,
-                timers_.now() - started);
-            runner_->defer([callback, index]
-                           { callback(index.map([](auto) {})); });
-        });
-}
-
 void control_node::read(plan_callback callback)
 {
     if (!runner_->is_leader())
@@ -643,115 +545,4 @@
     settings_.seeds = std::move(seeds);
 }
 
-std::string control_node::metrics() const
-{
-    const auto& node = runner_->node();
-    std::string text;
-    append_gauge(text, "boragestand_leader", "1 if this instance leads",
-                 runner_->is_leader() ? 1 : 0);
-    append_gauge(text, "boragestand_current",
-                 "1 if in contact with a majority of the group",
-                 is_current() ? 1 : 0);
-    append_gauge(text, "boragestand_term", "Term of the group", node.term());
-    append_gauge(text, "boragestand_commit_index", "Last committed entry",
-                 node.commit_index());
-    append_gauge(text, "boragestand_disk_free_bytes",
-                 "Bytes that can still be written to the disk of the log",
-                 runner_->free_bytes().value_or(0));
-    append_gauge(text, "boragestand_log_bytes",
-                 "Entries after the newest snapshot, in memory",
-                 node.log_bytes());
-    append_gauge(text, "boragestand_members", "Members of the group",
-                 node.group().members.size());
-    append_gauge(text, "boragestand_plan_version",
-                 "Version of the plan in force", plan().version);
-    append_gauge(text, "boragestand_upstreams", "Upstreams known",
-                 registry_.size());
-    append_gauge(text, "boragestand_entries",
-                 "Entry instances that asked for the directory",
-                 directory_.entry_count());
-    append_evacuation_metrics(text);
-    append_gauge(text, "boragestand_load_reports",
-                 "Load reports of other instances in use",
-                 directory_.load().report_count());
-    append_gauge(text, "boragestand_cold_upstreams",
-                 "Cold upstreams with a rate that report here",
-                 granter_.size());
-    submissions_.append_to(text, "boragestand_submission_seconds",
-                           "From a plan to its acknowledgement");
-    leaves_.answer_times().append_to(
-        text, "boragestand_leave_seconds",
-        "From the leave of an upstream to its answer");
-    return text;
-}
-
-void control_node::append_evacuation_metrics(std::string& text) const
-{
-    const auto notices = evacuations();
-    if (notices.empty())
-    {
-        return;
-    }
-    coordination::append_evacuations(text, notices);
-    append_gauge(text, "boragestand_entries_with_evacuations",
-                 "Entry instances that hold the newest evacuation order",
-                 directory_.entry_count_with_evacuations(
-                     coordination::newest_index(notices)));
-}
-
-// One removal at a time, and only while all other members answer, so that the
-// group stays large enough to tolerate the required number of failures.
-void control_node::remove_silent_member(time_point now)
-{
-    const auto& node = runner_->node();
-    if (node.last_group_index() != group_index_)
-    {
-        group_index_ = node.last_group_index();
-        group_changed_ = now;
-    }
-    if (removal_pending_ || !runner_->is_leader())
-    {
-        return;
-    }
-    const auto silent = agreement::member_to_remove(
-        node.group(), node.silences(now), replaced_member_silence);
-    if (!silent)
-    {
-        return;
-    }
-    const bool has_successor =
-        group_index_ > 0 &&
-        silent->silence + successor_delay >= now - group_changed_;
-    if (!has_successor && silent->silence < lost_member_silence)
-    {
-        return;
-    }
-    removal_pending_ = true;
-    log_.member_removed(silent->id, silent->silence);
-    runner_->change(agreement::remove_replica{silent->id},
-                    [this](const result<std::uint64_t>& outcome)
-                    {
-                        removal_pending_ = false;
-                        if (!outcome)
-                        {
-                            log_.request_failed("remove", outcome.error());
-                        }
-                    });
-}
-
-// A retired identity never returns: the instance joins again as a new one.
-void control_node::discard_identity()
-{
-    log_.identity_retired(runner_->node().self());
-    std::error_code fault;
-    for (const auto& file : std::filesystem::directory_iterator(
-             settings_.data_directory + "/replica", fault))
-    {
-        std::filesystem::remove(file.path(), fault);
-    }
-    stop_(fault ? std::optional(
-                      error{error_kind::storage_failure, fault.message()})
-                : std::nullopt);
-}
-
 } // namespace boragestand::fleet
--- a/src/fleet/entry_node.cpp
+++ b/src/fleet/entry_node.cpp
@@ -92,7 +92,8 @@
 }
 
 void entry_node::apply_load(const std::string& aggregate,
-                            const transport::endpoint& source)
+                            const transport::endpoint& source,
+                            time_point asked_at)
 {
     if (aggregate.empty() || !settings_.router.joins_load)
     {
@@ -104,7 +105,7 @@
         log_.bad_input("load", decoded.error(), source, timers_.now());
         return;
     }
-    router_.apply(*decoded, timers_.now());
+    router_.apply(*decoded, asked_at);
 }
 
 void entry_node::apply_evacuations(
@@ -133,8 +134,10 @@
     apply_evacuations(reply.evacuations, source);
     const bool complete = update.scope == reply_scope::whole && reply.current;
     router_.apply(reply.upstreams, complete, timers_.now());
-    router_.apply(reply.grants, timers_.now());
-    apply_load(reply.load, source);
+    // The reply may have waited since it was written, for example while this
+    // process was paused.
+    router_.apply(reply.grants, update.asked_at);
+    apply_load(reply.load, source, update.asked_at);
     const auto former = router_.plan_version();
     if (reply.plan && router_.apply(*reply.plan))
     {
--- a/src/fleet/entry_node.hpp
+++ b/src/fleet/entry_node.hpp
@@ -76,7 +76,7 @@
                       const transport::endpoint& source);
     std::string make_load_report(time_point now);
     void apply_load(const std::string& aggregate,
-                    const transport::endpoint& source);
+                    const transport::endpoint& source, time_point asked_at);
     void apply_evacuations(
         const std::vector<coordination::evacuation_notice>& received,
         const transport::endpoint& source);
--- a/src/replica/replica_runner.cpp
+++ b/src/replica/replica_runner.cpp
@@ -123,17 +123,29 @@
     }
 }
 
+// Without the figure nothing is refused before a write fails.
+std::optional<std::uint64_t> replica_runner::free_space()
+{
+    const auto free = disk_->free_bytes();
+    if (!free && !free_space_unknown_)
+    {
+        parts_.log.request_failed("free space", free.error());
+    }
+    free_space_unknown_ = !free;
+    return free ? std::optional(*free) : std::nullopt;
+}
+
 // A shorter list of entries is a valid request, whose answer does not
 // acknowledge the missing ones; the leader sends them again.
 void replica_runner::drop_entries_without_room(
     protocol::append_request& request)
 {
-    const auto free = disk_->free_bytes();
+    auto& entries = request.entries;
+    const auto free = entries.empty() ? std::nullopt : free_space();
     if (!free)
     {
         return;
     }
-    auto& entries = request.entries;
     const auto first = std::find_if(
         entries.begin(), entries.end(),
         [&](const protocol::log_entry& entry)
@@ -195,7 +207,7 @@
 
 void replica_runner::submit(std::string command, index_callback callback)
 {
-    const auto free = disk_->free_bytes();
+    const auto free = free_space();
     if (!failed_ && is_leader() && free &&
         !reserve_.admits_command(*free, command.size()))
     {
--- a/src/replica/replica_runner.hpp
+++ b/src/replica/replica_runner.hpp
@@ -99,6 +99,7 @@
     result<void> run(const agreement::invariant_broken& effect);
     void make_node(agreement::agreement_start start);
     void restart_replica(const error& cause);
+    std::optional<std::uint64_t> free_space();
     void fail_pending_requests(const error& cause);
     void refuse_for_room(std::uint64_t free, const index_callback& callback);
     void drop_entries_without_room(protocol::append_request& request);
@@ -115,7 +116,8 @@
     std::function<void(const error&)> failure_callback_;
     storage_reserve reserve_;
     std::optional<time_point> transferred_;
-    std::uint64_t applied_{0}; ///< index of the last applied entry
+    bool free_space_unknown_{false}; ///< and logged
+    std::uint64_t applied_{0};       ///< index of the last applied entry
     std::unique_ptr<agreement::agreement_node> node_;
     transport::subscription ticks_;
 
--- a/src/traffic/link_admission.cpp
+++ b/src/traffic/link_admission.cpp
@@ -1,5 +1,7 @@
 #include "traffic/link_admission.hpp"
 
+#include "traffic/packet_arithmetic.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <set>
@@ -31,11 +33,6 @@
 // time.
 constexpr double full_link_part = 0.5;
 
-double to_seconds(duration span)
-{
-    return std::chrono::duration<double>(span).count();
-}
-
 duration from_seconds(double seconds)
 {
     constexpr double longest = 3600;
@@ -43,11 +40,6 @@
         std::chrono::duration<double>(std::min(seconds, longest)));
 }
 
-bool is_after(std::uint32_t left, std::uint32_t right)
-{
-    return static_cast<std::int32_t>(left - right) > 0;
-}
-
 } // namespace
 
 std::string_view to_text(admission_cause cause)
@@ -174,7 +166,9 @@
 admission link_admission::ask(const token_packet& syn,
                               const state::service_route& route, time_point now)
 {
-    if (settings_.rate <= 0)
+    // An upstream may have answered an earlier copy of a repeated SYN, which
+    // may have passed another instance; a reset would end an open flow.
+    if (settings_.rate <= 0 || syn.repeated)
     {
         return {};
     }
@@ -228,9 +222,9 @@
     const bool pause = now - flow.last_packet >= settings_.request_gap;
     flow.last_packet = now;
     const auto end = packet.sequence + packet.data_size;
-    const bool has_news =
+    const bool has_new_data =
         packet.data_size > 0 && (!flow.end || is_after(end, *flow.end));
-    if (has_news)
+    if (has_new_data)
     {
         // A stall is no end: the upstream has answered in between.
         const bool answered = packet.acknowledged != flow.acknowledged;
--- a/src/traffic/link_scheduler.cpp
+++ b/src/traffic/link_scheduler.cpp
@@ -1,5 +1,7 @@
 #include "traffic/link_scheduler.hpp"
 
+#include "traffic/packet_arithmetic.hpp"
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -16,11 +18,6 @@
         std::chrono::duration<double>(seconds));
 }
 
-double to_seconds(duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 } // namespace
 
 link_scheduler::link_scheduler(const link_settings& settings)
--- a/src/traffic/load_tracker.cpp
+++ b/src/traffic/load_tracker.cpp
@@ -1,5 +1,7 @@
 #include "traffic/load_tracker.hpp"
 
+#include "traffic/packet_arithmetic.hpp"
+
 #include <algorithm>
 
 namespace boragestand::traffic
@@ -8,12 +10,6 @@
 namespace
 {
 
-// Whether a sequence number is after another one; they wrap around.
-bool is_after(std::uint32_t left, std::uint32_t right)
-{
-    return static_cast<std::int32_t>(left - right) > 0;
-}
-
 std::uint32_t rounded_ms(duration span)
 {
     return static_cast<std::uint32_t>(
--- a/src/traffic/token_router.cpp
+++ b/src/traffic/token_router.cpp
@@ -187,11 +187,7 @@
     {
         if (record != nullptr)
         {
-            // A caller that sends no more may still wait for its answer.
-            if (packet.rst)
-            {
-                end_request(*record, now);
-            }
+            end_request(*record, now);
             stop_counting(*record);
             flows_.erase(packet.flow);
         }
@@ -267,7 +263,7 @@
                                   candidates, basis);
     if (upstream == nullptr)
     {
-        return refuse(service);
+        return refuse(service, packet.repeated);
     }
     forward_packet decision{upstream->record.id,  upstream->record.address,
                             upstream->token,      reason,
@@ -292,10 +288,11 @@
 }
 
 // A gap in the list of upstreams is mostly shorter than the callers' pauses
-// between SYNs; an evacuation lasts longer than callers wait.
-token_decision token_router::refuse(const std::string& service)
+// between SYNs; an evacuation lasts longer than callers wait. An upstream may
+// have answered an earlier copy of a repeated SYN, so its flow is not reset.
+token_decision token_router::refuse(const std::string& service, bool repeated)
 {
-    if (settings_.may_refuse && pool_.is_evacuated(service))
+    if (settings_.may_refuse && !repeated && pool_.is_evacuated(service))
     {
         ++counters_.evacuated;
         return reset_caller{reset_reason::evacuated};
@@ -336,7 +333,11 @@
     const auto* upstream = pool_.find(record->upstream);
     if (packet.fin || packet.rst)
     {
-        end_request(*record, now);
+        // A caller that sends no more may still wait for its answer.
+        if (packet.rst)
+        {
+            end_request(*record, now);
+        }
         if (record->phase == flow_phase::open)
         {
             lifetimes_.add(now - record->last_syn);
--- a/src/traffic/token_router.hpp
+++ b/src/traffic/token_router.hpp
@@ -142,7 +142,7 @@
     token_decision continue_flow(const token_packet& packet, time_point now);
     token_decision forward_by_token(const token_packet& packet);
     token_decision drop(token_drop_reason reason);
-    token_decision refuse(const std::string& service);
+    token_decision refuse(const std::string& service, bool repeated);
     void complete_handshake(const token_packet& packet, flow_record& record,
                             time_point now);
     void abandon_attempt(flow_record& record, time_point now);
--- a/src/traffic/token_router_types.hpp
+++ b/src/traffic/token_router_types.hpp
@@ -33,6 +33,7 @@
     routing_token token{0};        ///< last token that the caller received
     std::uint32_t acknowledged{0}; ///< next sequence expected of the upstream
     std::uint32_t data_size{0};    ///< bytes of data
+    bool repeated{false};          ///< a SYN that the caller has sent before
 
     auto operator<=>(const token_packet&) const = default;
 };
--- a/tests/tokens/evacuation_test.cpp
+++ b/tests/tokens/evacuation_test.cpp
@@ -122,6 +122,12 @@
     evacuate("b", true);
     EXPECT_TRUE(is_reset(send(1, true)));
     EXPECT_EQ(router_->counters().evacuated, 1U);
+    // An upstream may have answered an earlier copy of this one.
+    token_packet copy;
+    copy.flow = {{0x64400001, 2}, desk};
+    copy.syn = true;
+    copy.repeated = true;
+    EXPECT_FALSE(is_reset(router_->decide(copy, now_)));
     start(false);
     evacuate("a", true);
     evacuate("b", true);
--- a/tests/tokens/link_admission_test.cpp
+++ b/tests/tokens/link_admission_test.cpp
@@ -226,6 +226,12 @@
     EXPECT_EQ(admission_.refused(admission_cause::link_committed), 2U);
     // A repeated SYN of an admitted flow is no new flow.
     EXPECT_TRUE(ask(flow(10, 1, uploads)).is_admitted());
+    // Nor is one whose earlier copy may have passed another instance.
+    token_packet copy;
+    copy.flow = flow(98, 1, uploads);
+    copy.syn = true;
+    copy.repeated = true;
+    EXPECT_TRUE(admission_.ask(copy, make_route(uploads), now_).is_admitted());
     // Room is free again as data passes.
     send(flow(10, 1, uploads), 0, upload_size, true);
     EXPECT_TRUE(ask(flow(99, 1, uploads)).is_admitted());
