--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -22,7 +22,7 @@
 
 # The same on all machines of a deployment, as DEPLOY.md says.
 PACKETS, READY, CALLS = 8172, 8167, 8166
-INTERNAL_FIRST, METRICS = 7720, 9464
+INTERNAL_FIRST, INTERNAL_LAST, METRICS = 7720, 7735, 9464
 
 
 class CannotRun(Exception):
@@ -71,6 +71,7 @@
         return (
             f'instance:\n  name: "{self.name}"\n  data_centre: "{self.zone}"\n'
             f'addresses:\n  internal: "{self.address}:{INTERNAL_FIRST}"\n'
+            f'{self.listen()}'
             f'  packets: "{"" if control else f"{self.address}:{PACKETS}"}"\n'
             f'  readiness: "{"" if control else f"{self.address}:{READY}"}"\n'
             f'  announcements: "{f"{self.address}:{CALLS}" if control else ""}"'
@@ -85,6 +86,12 @@
             f'warmup_overrun: ""\nwarmup_slack: ""\n'
             f'standing_agreement: true\nlog: {{file: "-"}}\n')
 
+    def listen(self):
+        """Where a proxy stands before the internal port, another port."""
+        if self.role == "control" and self.deployment.proxied:
+            return f'  listen: "{self.address}:{INTERNAL_LAST}"\n'
+        return ""
+
     def start(self, first_start=False):
         os.makedirs(f"{self.folder}/data", exist_ok=True)
         path = f"{self.folder}/local.yaml"
@@ -141,6 +148,7 @@
         pid = os.getpid()
         self.network = f"127.{64 + pid // 250 % 128}.{1 + pid % 250}"
         self.machines, self.seeds, self.next_host = [], [], 11
+        self.proxied = False  # whether proxies stand before internal ports
 
     def add(self, role, zone):
         """A machine at an address that no other machine has had."""
