--- a/review/common-2/traffic.py
+++ b/review/common-2/traffic.py
@@ -269,7 +269,10 @@
 
 class LongFlow:
     """A flow that stays open for many requests, with pauses between them. All
-    packets that it gets set the echo of its next ones."""
+    packets that it gets set the echo of its next ones; with
+    ignores_late_answers all but further answers to its SYN do."""
+
+    ignores_late_answers = False
 
     def __init__(self, address, port, destination, rotation, sock):
         self.flow = (address, port) + destination
@@ -292,7 +295,9 @@
             self.ended = "reset"
             self.event.set()
             return
-        self.echo = packet.echo
+        late = packet.flags & SYN and self.ack is not None
+        if not (late and self.ignores_late_answers):
+            self.echo = packet.echo
         if packet.flags & SYN:
             self.syn_answers += 1
             if self.ack is None:
