--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -149,6 +149,7 @@
         self.network = f"127.{64 + pid // 250 % 128}.{1 + pid % 250}"
         self.machines, self.seeds, self.next_host = [], [], 11
         self.proxied = False  # whether proxies stand before internal ports
+        self.destination = ("127.198.0.1", 8001)  # of the first route
 
     def add(self, role, zone):
         """A machine at an address that no other machine has had."""
@@ -167,7 +168,7 @@
 
     def routes(self, count=2):
         names = self.site["services"]
-        return [{"Name": f"r-{i}", "Hostname": f"198.18.0.{1 + i // 250}",
+        return [{"Name": f"r-{i}", "Hostname": f"127.198.0.{1 + i // 250}",
                  "PathPrefix": f"/{8001 + i % 250}/", "Type": "idempotent",
                  "TimeoutMs": 3000, "TargetLatencyMs": 200, "Priority": 1,
                  "Service": names[i % len(names)], "Attempts": 2}
--- a/review/common-2/traffic.py
+++ b/review/common-2/traffic.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import json
+import os
 import socket
 import struct
 import threading
@@ -211,6 +212,71 @@
         return "deadline"
 
 
+def owner_of(port, machines):
+    """The machine whose process has a TCP socket with this local port."""
+    with open("/proc/net/tcp", encoding="ascii") as file:
+        rows = [line.split() for line in file.readlines()[1:]]
+    inodes = {f"socket:[{row[9]}]" for row in rows
+              if int(row[1].rpartition(":")[2], 16) == port}
+    for each in machines:
+        if not each.is_running():
+            continue
+        folder = f"/proc/{each.process.pid}/fd"
+        for name in os.listdir(folder):
+            try:
+                if os.readlink(f"{folder}/{name}") in inodes:
+                    return each.name
+            except OSError:
+                continue
+    return None
+
+
+class Partitions:
+    """TCP proxies before the control instances that can cut some of them off
+    from the others, silently and in both directions."""
+
+    def __init__(self, deployment, listen_port):
+        self.deployment, self.listen_port = deployment, listen_port
+        self.cut = set()
+        self.loop = asyncio.new_event_loop()
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+
+    def add(self, machine, port):
+        future = asyncio.run_coroutine_threadsafe(asyncio.start_server(
+            lambda r, w: self.accept(machine, r, w), machine.address, port),
+            self.loop)
+        future.result(5)
+
+    async def accept(self, machine, reader, writer):
+        port = writer.get_extra_info("peername")[1]
+        ends = {machine.name, owner_of(port, self.deployment.machines)}
+        try:
+            behind = await asyncio.open_connection(machine.address,
+                                                   self.listen_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        state = {"lost": False}
+        await asyncio.gather(self.copy(reader, behind[1], ends, state),
+                             self.copy(behind[0], writer, ends, state))
+
+    async def copy(self, reader, writer, ends, state):
+        """What is sent during a cut is lost, and with it the connection."""
+        try:
+            while data := await reader.read(65536):
+                if self.cut & ends:
+                    state["lost"] = True
+                if state["lost"]:
+                    if not self.cut & ends:
+                        break
+                    continue
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        writer.transport.abort()
+
+
 class Links:
     """TCP proxies before the control instances. What they send to an entry
     instance passes at the rate of its link; the rest passes at once."""
