--- a/review/7/case.py
+++ b/review/7/case.py
@@ -59,7 +59,7 @@
         a.start()
     held = operator.read_until(5, 3 * RECOVERY_S)
     for machine in (a, b, e, f):
-        for line in machine.log_lines("member_removed", "group", "role")[-2:]:
+        for line in machine.log_lines("member_removed", "group")[-2:]:
             record(f"log: {line}")
     return HELD if held else BROKEN
 
