Remove members that are lost at the same time

Cause: a silent member was removed only if it was the only silent one. Two lost members kept each other in the group, which went on with six voters of which four ran. A learner that was lost beside another silent member was never removed either and blocked all changes. The short limit for replaced members counted from any change of the group, such as a removal, a returned disk or the start of the process.

Change: the member that has been silent for longest is removed, one at a time, whether others are silent or not. This is safe, since a removal lowers the majority of the rest. member_joins counts joins and cancels one for each departure, so that the short limit applies once for each successor.

Ruled out: promoting the successor and removing its predecessor in one change. Majorities before and after a change of two voters need not overlap.

--- a/src/agreement/agreement.hpp
+++ b/src/agreement/agreement.hpp
@@ -7,3 +7,4 @@
 #include "agreement/agreement_events.hpp"
 #include "agreement/agreement_membership.hpp"
 #include "agreement/agreement_node.hpp"
+#include "agreement/member_removal.hpp"
--- a/src/agreement/agreement_membership.cpp
+++ b/src/agreement/agreement_membership.cpp
@@ -120,33 +120,4 @@
     return group;
 }
 
-std::optional<member_silence>
-member_to_remove(const protocol::replica_group& group,
-                 const std::vector<member_silence>& silences, duration limit)
-{
-    // A member that answers does so with every heartbeat.
-    constexpr duration contact = std::chrono::seconds(1);
-    constexpr std::size_t smallest_group = 3;
-    std::optional<member_silence> silent;
-    for (const auto& each : silences)
-    {
-        if (each.silence <= contact)
-        {
-            continue;
-        }
-        if (silent)
-        {
-            return std::nullopt;
-        }
-        silent = each;
-    }
-    const bool catching_up = silent && has_other_learner(group, silent->id);
-    if (!silent || silent->silence < limit || catching_up)
-    {
-        return std::nullopt;
-    }
-    const std::size_t lost = group.is_voter(silent->id) ? 1 : 0;
-    return group.voter_count() - lost >= smallest_group ? silent : std::nullopt;
-}
-
 } // namespace boragestand::agreement
--- a/src/agreement/agreement_membership.hpp
+++ b/src/agreement/agreement_membership.hpp
@@ -38,11 +38,4 @@
 protocol::replica_group promoted_group(protocol::replica_group group,
                                        replica_id learner);
 
-/// The member that should be removed because it has been silent for longer than
-/// a limit: only if it is the only one that is silent at all, no learner is
-/// catching up, and three voters or more remain.
-std::optional<member_silence>
-member_to_remove(const protocol::replica_group& group,
-                 const std::vector<member_silence>& silences, duration limit);
-
 } // namespace boragestand::agreement
--- a/src/fleet/control_node.hpp
+++ b/src/fleet/control_node.hpp
@@ -166,8 +166,7 @@
     std::unique_ptr<transport::http2_server> server_;
     transport::subscription ticks_;
     time_point started_;
-    time_point group_changed_;
-    std::uint64_t group_index_{0};
+    agreement::member_joins joins_;
     duration_histogram submissions_;
     bool removal_pending_{false};
     bool was_current_{false};
--- a/src/fleet/control_node_members.cpp
+++ b/src/fleet/control_node_members.cpp
@@ -7,33 +7,32 @@
 namespace boragestand::fleet
 {
 
-// One removal at a time, and only while all other members answer, so that the
-// group stays large enough to tolerate the required number of failures.
+namespace
+{
+
+constexpr std::size_t smallest_group = agreement::smallest_group_for(1);
+
+} // namespace
+
+// One removal at a time, so that each is decided on the group that the one
+// before has left.
 void control_node::remove_silent_member(time_point now)
 {
     const auto& node = runner_->node();
-    if (node.last_group_index() != group_index_)
-    {
-        group_index_ = node.last_group_index();
-        group_changed_ = now;
-    }
-    if (removal_pending_ || !runner_->is_leader())
+    joins_.observe(node.group(), node.self(), now);
+    if (removal_pending_ || !runner_->is_leader() || !node.is_in_contact(now))
     {
         return;
     }
+    const agreement::removal_limits limits{lost_member_silence,
+                                           replaced_member_silence,
+                                           successor_delay, smallest_group};
     const auto silent = agreement::member_to_remove(
-        node.group(), node.silences(now), replaced_member_silence);
+        node.group(), node.silences(now), joins_, limits, now);
     if (!silent)
     {
         return;
     }
-    const bool has_successor =
-        group_index_ > 0 &&
-        silent->silence + successor_delay >= now - group_changed_;
-    if (!has_successor && silent->silence < lost_member_silence)
-    {
-        return;
-    }
     removal_pending_ = true;
     log_.member_removed(silent->id, silent->silence);
     runner_->change(agreement::remove_replica{silent->id},
--- a/src/fleet/fleet_times.hpp
+++ b/src/fleet/fleet_times.hpp
@@ -51,13 +51,12 @@
 /// Upstreams accept an answer only within a second.
 constexpr duration leave_confirmation = std::chrono::milliseconds(700);
 
-/// A member without an answer for this long is removed from the group. It is
-/// longer than the process freezes and network partitions that an instance
-/// recovers from.
+/// A member without an answer for this long counts as lost. It is longer than
+/// the process freezes and network partitions that an instance recovers from.
 constexpr duration lost_member_silence = std::chrono::seconds(10);
 
-/// Shorter limit if a member has joined since, or shortly before: it then
-/// replaces the silent one.
+/// Shorter limit for a silent member that another one has replaced, and for a
+/// learner, which delays all other changes of the group.
 constexpr duration replaced_member_silence = std::chrono::seconds(3);
 
 /// A planned successor joins up to this long before its predecessor stops.
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -172,6 +172,28 @@
     EXPECT_EQ(fleet_.read(), "seven");
 }
 
+// Guards against members that are lost at the same time and then stay voters
+// for good, so that the group cannot bear the loss of a disk any more.
+TEST_F(fleet_test, replaces_two_members_that_are_lost_at_the_same_time)
+{
+    form_group(4);
+    ASSERT_TRUE(fleet_.submit(7, "seven"));
+    fleet_.start(5, false);
+    ASSERT_TRUE(fleet_.run_until([&] { return fleet_.has_voters(5); }));
+    fleet_.kill(4);
+    fleet_.run_for(1s);
+    fleet_.kill(3);
+    fleet_.run_for(1s);
+    fleet_.start(6, false);
+    ASSERT_TRUE(fleet_.run_until([&] { return fleet_.has_voters(4); }));
+
+    fleet_.kill(1);
+    fleet_.lose_disk(1);
+    fleet_.start(1, false);
+    ASSERT_TRUE(fleet_.run_until([&] { return fleet_.has_voters(4); }));
+    EXPECT_EQ(fleet_.read(), "seven");
+}
+
 // Guards against loss of the plan and the upstreams after a power failure of
 // all instances.
 TEST_F(fleet_test, comes_back_with_plan_and_upstreams)
