Keep the control group as large as its tolerance needs

Cause: a member that was silent for 10 s was removed as long as three voters remained. A constant of three serves the loss of one instance; the deployment must bear two, which needs five voters.

Change: a voter is removed only if 2 x losses + 1 others remain. The losses come from tolerated_instances and tolerated_data_centres of the settings, which the platform's template fills in. Instances count as spread evenly over the data centres. Without these settings the group keeps the tolerance of its size, so that only an even group shrinks.

The first form of the change kept no size for a replaced member, as the join was to make up for it. The new test failed with it: at the first start the last instances to join counted as successors of one that was lost 3 s later.

Ruled out: never removing a member without a successor. Each lost member would then count until the next one joins, although the rest is large enough.

Before: fleet_test.keeps_its_size_while_a_member_is_away failed (no group of five voters within 60 s).

--- a/src/agreement/member_removal.cpp
+++ b/src/agreement/member_removal.cpp
@@ -87,19 +87,17 @@
             longest = each;
         }
     }
-    if (!longest || longest->silence < limits.replaced)
+    if (!longest)
     {
         return std::nullopt;
     }
     const bool replaced =
         joins.has_joined_since(now - longest->silence - limits.succession);
-    if (learner != nullptr || replaced)
-    {
-        return longest;
-    }
-    const bool enough_remain = group.voter_count() > limits.smallest_group;
-    return longest->silence >= limits.lost && enough_remain ? longest
-                                                            : std::nullopt;
+    const auto limit =
+        learner != nullptr || replaced ? limits.replaced : limits.lost;
+    const bool enough_remain =
+        learner != nullptr || group.voter_count() > limits.smallest_group;
+    return longest->silence >= limit && enough_remain ? longest : std::nullopt;
 }
 
 } // namespace boragestand::agreement
--- a/src/agreement/member_removal.hpp
+++ b/src/agreement/member_removal.hpp
@@ -34,8 +34,7 @@
     duration replaced; ///< silence of a member that is replaced, or a learner
     /// A successor joins up to this long before its predecessor stops.
     duration succession;
-    /// Voters that must remain if the member is not replaced.
-    std::size_t smallest_group;
+    std::size_t smallest_group; ///< voters that must remain
 
     auto operator<=>(const removal_limits&) const = default;
 };
@@ -47,11 +46,11 @@
 }
 
 /// The member that has been silent for longest, if it should be removed: a
-/// learner, which blocks all other changes; a voter for which another member
-/// has joined, so that the group keeps its size; or a voter that is silent for
-/// so long that it counts as lost, if enough others remain. Other members may
-/// be silent as well: each removal lowers the majority that the rest needs.
-/// None while a learner that answers is catching up.
+/// learner, which blocks all other changes, or a voter, if enough others
+/// remain. The limit is shorter for a voter in whose place another member has
+/// joined. Other members may be silent as well: each removal lowers the
+/// majority that the rest needs. None while a learner that answers is catching
+/// up.
 std::optional<member_silence>
 member_to_remove(const protocol::replica_group& group,
                  const std::vector<member_silence>& silences,
--- a/src/fleet/control_node.hpp
+++ b/src/fleet/control_node.hpp
@@ -4,6 +4,7 @@
 #include "fleet/directory_client.hpp"
 #include "fleet/directory_server.hpp"
 #include "fleet/directory_store.hpp"
+#include "fleet/fault_tolerance.hpp"
 #include "fleet/leave_confirmations.hpp"
 #include "fleet/log_limits.hpp"
 #include "fleet/plan_machine.hpp"
@@ -29,6 +30,7 @@
     bool may_found{false}; ///< a group, at the first start of the fleet
     /// All data centres; empty if they are not known.
     std::vector<std::string> data_centres;
+    fault_tolerance tolerance; ///< that the control group keeps
     coordination::warmup_granter_settings warmup;
     coordination::registry_settings registry;
     agreement::agreement_settings replication;
--- a/src/fleet/control_node_members.cpp
+++ b/src/fleet/control_node_members.cpp
@@ -7,13 +7,6 @@
 namespace boragestand::fleet
 {
 
-namespace
-{
-
-constexpr std::size_t smallest_group = agreement::smallest_group_for(1);
-
-} // namespace
-
 // One removal at a time, so that each is decided on the group that the one
 // before has left.
 void control_node::remove_silent_member(time_point now)
@@ -24,9 +17,11 @@
     {
         return;
     }
-    const agreement::removal_limits limits{lost_member_silence,
-                                           replaced_member_silence,
-                                           successor_delay, smallest_group};
+    const auto losses =
+        tolerated_losses(settings_.tolerance, node.group().voter_count());
+    const agreement::removal_limits limits{
+        lost_member_silence, replaced_member_silence, successor_delay,
+        agreement::smallest_group_for(losses)};
     const auto silent = agreement::member_to_remove(
         node.group(), node.silences(now), joins_, limits, now);
     if (!silent)
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -6,6 +6,7 @@
 #include "fleet/control_node.hpp"
 #include "fleet/directory_subscription.hpp"
 #include "fleet/entry_node.hpp"
+#include "fleet/fault_tolerance.hpp"
 #include "fleet/fleet_log.hpp"
 #include "fleet/fleet_program.hpp"
 #include "fleet/fleet_times.hpp"
--- a/src/settings/fleet_settings.cpp
+++ b/src/settings/fleet_settings.cpp
@@ -29,6 +29,7 @@
 constexpr double max_link_mbps = 1e6;
 constexpr double max_megabytes = 1e6;
 constexpr double max_warmup_value = 1000;
+constexpr std::uint32_t max_tolerated = 1000;
 
 // Empty text counts as 0.
 std::optional<double> parse_decimal(std::string_view text, double max)
@@ -76,6 +77,39 @@
     }
 }
 
+std::optional<std::uint32_t> parse_count(std::string_view text)
+{
+    std::uint32_t value = 0;
+    const auto* const last = text.data() + text.size();
+    const auto [end, fault] = std::from_chars(text.data(), last, value);
+    const bool valid =
+        fault == std::errc{} && end == last && value <= max_tolerated;
+    return valid ? std::optional(value) : std::nullopt;
+}
+
+std::optional<std::string> check_count(std::string_view text)
+{
+    return text.empty() || parse_count(text)
+               ? std::nullopt
+               : std::optional<std::string>("a count from 0 to 1000");
+}
+
+// Empty text leaves the count unknown.
+void read_count(mapping_reader& root, std::string_view key,
+                std::optional<std::uint32_t>& target)
+{
+    std::string text;
+    if (root.read_text(key, presence::optional, check_count, text))
+    {
+        target = parse_count(text);
+    }
+}
+
+std::string to_text(const std::optional<std::uint32_t>& count)
+{
+    return count ? std::to_string(*count) : std::string();
+}
+
 void read_texts(mapping_reader& root, std::string_view key,
                 std::vector<std::string>& target)
 {
@@ -184,6 +218,8 @@
     read_decimal(root, "memory_mb", check_megabytes, settings.memory_mb);
     read_decimal(root, "disk_mb", check_megabytes, settings.disk_mb);
     read_texts(root, "data_centres", settings.data_centres);
+    read_count(root, "tolerated_instances", settings.tolerated_instances);
+    read_count(root, "tolerated_data_centres", settings.tolerated_data_centres);
     read_texts(root, "features", settings.features);
     read_decimal(root, "warmup_overrun", check_warmup_value,
                  settings.warmup_overrun);
@@ -253,6 +289,9 @@
         .pair("memory_mb", to_text(settings.memory_mb))
         .pair("disk_mb", to_text(settings.disk_mb))
         .texts("data_centres", settings.data_centres)
+        .pair("tolerated_instances", to_text(settings.tolerated_instances))
+        .pair("tolerated_data_centres",
+              to_text(settings.tolerated_data_centres))
         .texts("features", settings.features)
         .pair("warmup_overrun", to_text(settings.warmup_overrun))
         .pair("warmup_slack", to_text(settings.warmup_slack))
--- a/src/settings/fleet_settings.hpp
+++ b/src/settings/fleet_settings.hpp
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +43,10 @@
     double disk_mb{0};
     /// All data centres of the deployment; empty if they are not known.
     std::vector<std::string> data_centres;
+    /// Control instances, and data centres, that the deployment must be able to
+    /// lose at once; none if not known.
+    std::optional<std::uint32_t> tolerated_instances;
+    std::optional<std::uint32_t> tolerated_data_centres;
     /// Optional parts that the deployment asks for; unknown ones are ignored.
     std::vector<std::string> features;
     /// A cold upstream may get up to warmup_overrun times its rate plus
--- a/tests/agreement/member_removal_test.cpp
+++ b/tests/agreement/member_removal_test.cpp
@@ -12,7 +12,7 @@
 
 constexpr time_point now{1h};
 constexpr replica_id self{1};
-constexpr removal_limits limits{10s, 3s, 4s, 3};
+constexpr removal_limits limits{10s, 3s, 4s, smallest_group_for(1)};
 
 protocol::replica_group group_of(std::size_t voters, std::size_t learners = 0)
 {
@@ -143,6 +143,9 @@
 TEST(member_to_remove, keeps_the_smallest_group)
 {
     EXPECT_EQ(removed(group_of(3), silences({1min, 10ms})), 0U);
+    EXPECT_EQ(removed(group_of(3), silences({1min, 10ms}), joins_to(2, {2s})),
+              0U)
+        << "an instance that joins at the first start replaces nobody";
     EXPECT_EQ(removed(group_of(5), silences({1min, 1min, 10ms, 10ms})), 2U);
 }
 
--- a/tests/fleet/fleet_group.cpp
+++ b/tests/fleet/fleet_group.cpp
@@ -74,6 +74,7 @@
     settings.seeds = seeds();
     settings.may_found = first_start;
     settings.data_centres = {"a", "b"};
+    settings.tolerance = tolerance_;
     settings.registry.lease = lease;
     settings.replication.first_election_timeout =
         std::chrono::milliseconds(150);
--- a/tests/fleet/fleet_group.hpp
+++ b/tests/fleet/fleet_group.hpp
@@ -19,6 +19,13 @@
     fleet_group();
     ~fleet_group();
 
+    /// Sets what control instances that start from now on must tolerate; the
+    /// loss of one of them by default.
+    void set_tolerance(const fault_tolerance& tolerance)
+    {
+        tolerance_ = tolerance;
+    }
+
     /// Starts a control instance.
     void start(std::uint32_t number, bool first_start = true);
 
@@ -83,6 +90,7 @@
     std::string root_;
     std::uint32_t network_;
     fleet_log log_;
+    fault_tolerance tolerance_{1, std::nullopt, 0};
     std::map<std::uint32_t, std::unique_ptr<control_node>> nodes_;
 };
 
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -194,6 +194,29 @@
     EXPECT_EQ(fleet_.read(), "seven");
 }
 
+// Guards against a group that shrinks while a member is cut off for long, and
+// cannot bear the losses any more that it was sized for.
+TEST_F(fleet_test, keeps_its_size_while_a_member_is_away)
+{
+    fleet_.set_tolerance({2, std::nullopt, 0});
+    form_group(5);
+    ASSERT_TRUE(fleet_.submit(7, "seven"));
+    fleet_.kill(4);
+    fleet_.run_for(lost_member_silence + 2s);
+    ASSERT_TRUE(fleet_.submit(9, "nine"));
+    for (const std::uint32_t number : {1U, 2U})
+    {
+        fleet_.kill(number);
+        fleet_.lose_disk(number);
+    }
+    for (const std::uint32_t number : {1U, 2U, 4U})
+    {
+        fleet_.start(number, false);
+    }
+    ASSERT_TRUE(fleet_.run_until([&] { return fleet_.has_voters(5); }));
+    EXPECT_EQ(fleet_.read(), "nine");
+}
+
 // Guards against loss of the plan and the upstreams after a power failure of
 // all instances.
 TEST_F(fleet_test, comes_back_with_plan_and_upstreams)
--- a/tests/settings/fleet_settings_test.cpp
+++ b/tests/settings/fleet_settings_test.cpp
@@ -56,6 +56,29 @@
     EXPECT_EQ(read_fleet_settings(to_yaml(*settings))->link_mbps, 2.7);
 }
 
+// Guards against a tolerance that is lost on the way to the control group, and
+// against one that is not known and taken for 0.
+TEST(fleet_settings, take_the_losses_to_tolerate)
+{
+    EXPECT_EQ(read_fleet_settings(entry)->tolerated_instances, std::nullopt);
+    EXPECT_EQ(read_fleet_settings(entry + "tolerated_instances: \"\"\n")
+                  ->tolerated_instances,
+              std::nullopt);
+    const auto settings =
+        read_fleet_settings(entry + "tolerated_instances: \"2\"\n"
+                                    "tolerated_data_centres: \"0\"\n");
+    ASSERT_TRUE(settings);
+    EXPECT_EQ(settings->tolerated_instances, 2U);
+    EXPECT_EQ(settings->tolerated_data_centres, 0U);
+    EXPECT_EQ(read_fleet_settings(to_yaml(*settings)), settings);
+    for (const auto* text : {"-1", "two", "1001", "1.5"})
+    {
+        EXPECT_FALSE(read_fleet_settings(entry + "tolerated_instances: \"" +
+                                         text + "\"\n"))
+            << text;
+    }
+}
+
 // Guards against a changed file that is not reloaded, and against an invalid
 // one that replaces valid settings.
 TEST(settings_watch, takes_changes_and_keeps_what_works)
