--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -150,6 +150,33 @@
     EXPECT_FALSE(decode_heartbeat(5, "\xff\xfe"));
 }
 
+// Guards against control instances that run out of memory on a heartbeat of
+// another writer: 4 MB of brackets took 64 times as much when they were parsed.
+TEST(message_codec, refuses_deeply_nested_and_long_messages)
+{
+    const auto with_field = [](const std::string& value)
+    {
+        auto text = heartbeat().dump();
+        text.pop_back();
+        return text + ",\"more\":" + value + "}";
+    };
+    const auto nested = [](std::size_t levels)
+    {
+        return std::string(levels, '[') + std::string(levels, ']');
+    };
+    EXPECT_TRUE(decode_heartbeat(5, with_field(nested(8))));
+    EXPECT_TRUE(decode_heartbeat(5, with_field('"' + nested(1000) + '"')))
+        << "brackets in a text nest nothing";
+    EXPECT_FALSE(decode_heartbeat(5, with_field(nested(1000))));
+    EXPECT_FALSE(
+        decode_heartbeat(5, with_field('"' + std::string(100'000, 'x') + '"')));
+    EXPECT_FALSE(decode_leave(R"({"born":7,"more":)" + nested(1000) + "}"));
+    auto document = plan().dump();
+    document.pop_back();
+    EXPECT_FALSE(
+        decode_plan_document(document + ",\"more\":" + nested(1000) + "}"));
+}
+
 TEST(message_codec, reads_a_plan_and_keeps_its_text)
 {
     const auto text = plan().dump();
