Check announced upstreams before they are registered

What operators of similar systems saw: machines that read the list of hosts stopped following it because of one odd entry.

Cause: names of any length, any address and any number were registered and passed on. Three names of 3 MB made the whole directory longer than a reply may be. On small links much less does, as a reply must come within a second.

Ruled out: leaving odd records out of replies only. They would still be saved and count for placement and limits.

Before: fleet_test.keeps_odd_upstreams_out_of_the_directory failed (an entry instance had no plan after 60 s).

--- a/src/coordination/coordination.hpp
+++ b/src/coordination/coordination.hpp
@@ -11,5 +11,6 @@
 #include "coordination/load_exchange.hpp"
 #include "coordination/traffic_policy.hpp"
 #include "coordination/traffic_types.hpp"
+#include "coordination/upstream_checks.hpp"
 #include "coordination/upstream_registry.hpp"
 #include "coordination/warmup_granter.hpp"
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -417,6 +417,12 @@
 void control_node::handle_heartbeat(
     const coordination::registered_upstream& record, done_callback callback)
 {
+    const auto checked = coordination::check_upstream(record);
+    if (!checked)
+    {
+        callback(checked);
+        return;
+    }
     const auto now = timers_.now();
     const auto outcome = registry_.apply(record, now, claim_of(record));
     if (outcome != coordination::update_outcome::stale)
--- a/src/fleet/control_node.hpp
+++ b/src/fleet/control_node.hpp
@@ -56,6 +56,7 @@
 
     /// Handles a heartbeat. A heartbeat of a leaving upstream is answered once
     /// a majority of the group has it; error_kind::no_quorum otherwise.
+    /// error_kind::invalid_argument if the upstream cannot be used.
     void handle_heartbeat(const coordination::registered_upstream& record,
                           done_callback callback);
 
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -237,6 +237,27 @@
     EXPECT_EQ(fleet_.read(), "seven");
 }
 
+// Guards against single odd upstreams that make a whole directory unreadable:
+// replies above the size limit were refused and entry instances stayed behind.
+TEST_F(fleet_test, keeps_odd_upstreams_out_of_the_directory)
+{
+    form_group(3);
+    ASSERT_TRUE(fleet_.submit(7, "seven"));
+    for (const std::uint32_t number : {1U, 2U, 3U})
+    {
+        for (std::uint32_t id = 1; id <= 3; ++id)
+        {
+            auto odd = make_upstream(id, 1);
+            odd.data_centre = std::string(3 * 1024 * 1024, 'x');
+            const auto answer = fleet_.send_heartbeat(number, odd);
+            EXPECT_FALSE(answer.value_or(result<void>{}));
+        }
+    }
+    const auto entry = fleet_.make_entry();
+    EXPECT_TRUE(
+        fleet_.run_until([&] { return entry->router().plan_version() == 7; }));
+}
+
 // Guards against an upstream that has left and is in use again after a restart
 // of all instances, because only its earlier record was saved.
 TEST_F(fleet_test, keeps_an_acknowledged_leave_over_a_restart_of_all)
