Take no follower for current that has fallen behind

What callers would see: while the disk of a control instance is full, its entry instances keep the former plan and confirm it to callers.

Cause: is_caught_up() compared terms only. A follower without room for an entry answers heartbeats and stays in contact with its leader.

Change: a follower is caught up only if it has reached the leader's commit index within the election timeout, as for contact.

Ruled out: comparing the two indexes at the moment of the question. A request that brings the commit index and not yet all entries would end contact.

--- a/src/agreement/agreement_node.cpp
+++ b/src/agreement/agreement_node.cpp
@@ -206,9 +206,12 @@
                    : has_leader_contact(now);
 }
 
-bool agreement_node::is_caught_up() const
+bool agreement_node::is_caught_up(time_point now) const
 {
-    return core_.log().term_at(core_.commit_index()) == core_.term();
+    const bool follows =
+        leader_ || (last_caught_up_ &&
+                    now - *last_caught_up_ < core_.settings().election_timeout);
+    return follows && core_.log().term_at(core_.commit_index()) == core_.term();
 }
 
 std::vector<member_silence> agreement_node::silences(time_point now) const
@@ -262,6 +265,10 @@
 {
     record_leader_contact(envelope.from, now);
     receiver_.handle(envelope, request);
+    if (core_.commit_index() >= request.commit)
+    {
+        last_caught_up_ = now;
+    }
 }
 
 void agreement_node::handle_message(
--- a/src/agreement/agreement_node.hpp
+++ b/src/agreement/agreement_node.hpp
@@ -60,9 +60,11 @@
     /// leader steps down after that long without replies from a majority.
     bool is_in_contact(time_point now) const;
 
-    /// Whether an entry of the present term is committed here, so that all that
-    /// was acknowledged in earlier terms is applied.
-    bool is_caught_up() const;
+    /// Whether all that was acknowledged until shortly before now is applied
+    /// here: an entry of the present term is committed, and a follower has
+    /// reached the leader's commit index within the election timeout. A
+    /// follower whose disk is full hears its leader and falls behind.
+    bool is_caught_up(time_point now) const;
 
     /// On the leader, the time since each other member last answered; empty on
     /// other replicas.
@@ -120,6 +122,8 @@
     agreement_role role_{agreement_role::follower};
     replica_id leader_id_;
     std::optional<time_point> last_leader_contact_;
+    /// When this follower last held all that its leader had committed.
+    std::optional<time_point> last_caught_up_;
     bool started_{false};
 };
 
--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -383,7 +383,7 @@
 {
     const auto now = timers_.now();
     const auto& node = runner_->node();
-    if (!node.is_in_contact(now) || !node.is_caught_up())
+    if (!node.is_in_contact(now) || !node.is_caught_up(now))
     {
         return false;
     }
--- a/tests/agreement/agreement_contract_test.cpp
+++ b/tests/agreement/agreement_contract_test.cpp
@@ -209,7 +209,7 @@
     const auto caught_up = [&group](std::uint32_t instance)
     {
         const auto* node = group.at(instance).node();
-        return node != nullptr && node->is_caught_up();
+        return node != nullptr && node->is_caught_up(group.now());
     };
     const auto is_true = [&](std::uint32_t instance)
     {
--- a/tests/agreement/simulated_group.hpp
+++ b/tests/agreement/simulated_group.hpp
@@ -62,6 +62,7 @@
         conditions_ = value;
     }
 
+    time_point now() const { return now_; }
     simulated_replica& at(std::uint32_t instance);
     const std::map<std::uint32_t, std::unique_ptr<simulated_replica>>&
     replicas() const
