Transfer leadership each time a disk fills up

What callers would see: changes refused with storage_full for as long as the disk of the leader is full, although other control instances have room.

Cause: a leader without room transfers leadership at most once in 30 s. Disks that are full in turn bring the same leader back within that time.

Change: the limit ends once the leader has committed a command, which shows that its disk had room in between.

Ruled out: a shorter interval. With all disks full leadership would change more often, and each change interrupts reads.

--- a/src/replica/replica_runner.cpp
+++ b/src/replica/replica_runner.cpp
@@ -13,7 +13,8 @@
 constexpr int ticks_per_heartbeat = 4;
 
 // If all disks are full, each new leader refuses as well. A change of leader
-// interrupts reads for some round trips, so refusals cause few of them.
+// interrupts reads for some round trips, so refusals cause few of them until a
+// command is committed again.
 constexpr duration transfer_interval = std::chrono::seconds(30);
 
 } // namespace
@@ -337,6 +338,10 @@
 
 result<void> replica_runner::run(const agreement::proposal_done& effect)
 {
+    if (effect.index)
+    {
+        transferred_.reset();
+    }
     complete_request(effect.token, effect.index);
     return {};
 }
--- a/tests/fleet/replica_storage_test.cpp
+++ b/tests/fleet/replica_storage_test.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t document_size = 230 * 1024;
 constexpr replica_id self{1};
 constexpr transport::endpoint own_address{0x7f000001, 1};
+constexpr replica_id other{2};
+constexpr transport::endpoint other_address{0x7f000001, 9};
+constexpr duration election_timeout = 100ms;
 
 /// Keeps the newest command, as a plan register does.
 class newest_command final : public state_machine
@@ -85,7 +88,7 @@
         files_ = files.get();
         agreement::agreement_settings settings;
         settings.first_election_timeout = 20ms;
-        settings.election_timeout = 100ms;
+        settings.election_timeout = election_timeout;
         settings.heartbeat_interval = 20ms;
         settings.snapshot_interval_bytes = interval;
         auto disk = replica_disk::open(std::move(files), segment_size);
@@ -106,20 +109,60 @@
         run(std::move(files), {});
     }
 
-    void lead()
+    void lead() { run_until_leading(true); }
+
+    void run_until_leading(bool leading)
     {
         const auto guard =
             timers_.after(10s, [this](time_point) { loop_.quit(); });
-        const auto check = timers_.every(1ms,
-                                         [this](time_point)
-                                         {
-                                             if (runner_->is_leader())
-                                             {
-                                                 loop_.quit();
-                                             }
-                                         });
+        const auto check =
+            timers_.every(1ms,
+                          [this, leading](time_point)
+                          {
+                              if (runner_->is_leader() == leading)
+                              {
+                                  loop_.quit();
+                              }
+                          });
         loop_.run();
-        ASSERT_TRUE(runner_->is_leader());
+        ASSERT_EQ(runner_->is_leader(), leading);
+    }
+
+    void receive_from_other(protocol::agreement_message message,
+                            std::uint64_t term)
+    {
+        runner_->receive(
+            {other, self, other_address, term, std::move(message)});
+    }
+
+    // Leads with the votes of the other replica and its answer to the first
+    // entry.
+    void lead_with_other()
+    {
+        const auto vote = timers_.every(
+            1ms,
+            [this](time_point)
+            {
+                using agreement::agreement_role;
+                const auto& node = runner_->node();
+                const bool before =
+                    node.role() == agreement_role::pre_candidate;
+                if (before || node.role() == agreement_role::candidate)
+                {
+                    receive_from_other(protocol::vote_reply{before, true},
+                                       node.term() + (before ? 1 : 0));
+                }
+            });
+        lead();
+        confirm();
+    }
+
+    // The other replica stores all entries.
+    void confirm()
+    {
+        const auto& node = runner_->node();
+        receive_from_other(
+            protocol::append_reply{true, node.last().index, 0, 0}, node.term());
     }
 
     result<std::uint64_t> submit(const std::string& command)
@@ -238,6 +281,59 @@
     EXPECT_EQ(runner_->node().last().index, 3U);
 }
 
+// Guards against a follower without room that counts as current, so that entry
+// instances stay with it and confirm a plan that has been replaced.
+TEST_F(replica_storage, follower_without_room_is_not_caught_up)
+{
+    constexpr replica_id leader{2};
+    const transport::endpoint address{0x7f000001, 9};
+    start({interval}, {{leader, address, true}});
+    using protocol::entry_kind;
+    const auto append = [&](std::uint64_t commit)
+    {
+        runner_->receive({leader, self, address, 5,
+                          protocol::append_request{
+                              {},
+                              commit,
+                              1,
+                              {{1, 5, entry_kind::empty, {}},
+                               {2, 5, entry_kind::command, document(1)}}}});
+    };
+    files_->set_capacity(files_->used() + interval / 4);
+    append(1);
+    EXPECT_TRUE(runner_->node().is_caught_up(timers_.now()));
+    append(2);
+    const auto later = timers_.now() + election_timeout;
+    EXPECT_FALSE(runner_->node().is_caught_up(later));
+
+    files_->set_capacity(files_->used() + interval);
+    append(2);
+    EXPECT_TRUE(runner_->node().is_caught_up(timers_.now()));
+}
+
+// Guards against a leader that refuses changes for as long as its disk is full
+// because it has transferred leadership a short time before, for the same
+// reason, although its disk has had room in between.
+TEST_F(replica_storage, transfers_leadership_each_time_its_disk_fills_up)
+{
+    start({interval}, {{other, other_address, true}});
+    for (int round = 0; round < 2; ++round)
+    {
+        lead_with_other();
+        runner_->submit("accepted", [](const auto&) {});
+        confirm();
+        files_->set_capacity(files_->used() + interval / 2);
+        const auto refused = submit(document(round));
+        ASSERT_FALSE(refused);
+        EXPECT_EQ(refused.error().kind, error_kind::storage_full);
+        files_->set_capacity(std::uint64_t{1} << 30U);
+        const auto next = submit(document(round));
+        ASSERT_FALSE(next);
+        EXPECT_EQ(next.error().kind, error_kind::not_leader) << round;
+        run_until_leading(false);
+    }
+}
+
 // Guards against a vote that is lost in a power failure after it was granted:
 // a replica that cannot store it must forget it.
 TEST_F(replica_storage, forgets_a_vote_that_it_cannot_store)
