--- a/src/state/durable_log.cpp
+++ b/src/state/durable_log.cpp
@@ -89,6 +89,10 @@
         return tl::unexpected(finished.error());
     }
     log.last_index_ = segments.last_index();
+    if (segments.is_replaced())
+    {
+        log.missing_reset_ = snapshot;
+    }
     return log.sync_recovered().map([&] { return std::move(log); });
 }
 
@@ -115,6 +119,14 @@
                        "append would leave a gap after index " +
                            std::to_string(last_index_));
     }
+    if (missing_reset_)
+    {
+        const auto written = reset(*missing_reset_);
+        if (!written)
+        {
+            return written;
+        }
+    }
     const std::uint64_t last = entries.back().index;
     return write(entries_record + protocol::encode_log_entries(entries), last)
         .map([&] { last_index_ = last; });
@@ -130,6 +142,7 @@
     {
         return written;
     }
+    missing_reset_.reset();
     last_index_ = base.index;
     while (segments_.size() > 1)
     {
--- a/src/state/durable_log.hpp
+++ b/src/state/durable_log.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -80,6 +81,10 @@
     std::uint64_t segment_size_;
     std::deque<segment> segments_;
     std::uint64_t last_index_{0};
+    /// Position of a snapshot that replaces the records on disk. Its reset is
+    /// written before the next entries, as a disk may have no room at the
+    /// start.
+    std::optional<protocol::log_position> missing_reset_;
     bool failed_{false};
 };
 
--- a/src/state/durable_log_reader.cpp
+++ b/src/state/durable_log_reader.cpp
@@ -156,11 +156,10 @@
     const std::uint64_t covered = snapshot.index - base_;
     // The log ends before the snapshot, or it diverged before the snapshot was
     // installed by a leader: the snapshot replaces the whole log.
-    const bool replaced =
-        covered > entries.size() ||
-        (covered > 0 && entries[covered - 1].term != snapshot.term);
+    replaced_ = covered > entries.size() ||
+                (covered > 0 && entries[covered - 1].term != snapshot.term);
     entries.erase(entries.begin(),
-                  replaced
+                  replaced_
                       ? entries.end()
                       : entries.begin() + static_cast<std::ptrdiff_t>(covered));
     base_ = snapshot.index;
--- a/src/state/durable_log_reader.hpp
+++ b/src/state/durable_log_reader.hpp
@@ -24,6 +24,9 @@
     /// Index of the last entry or of the base.
     std::uint64_t last_index() const;
 
+    /// Whether the snapshot replaces records that are still in the segments.
+    bool is_replaced() const { return replaced_; }
+
 private:
     result<void> apply(std::string_view payload, segment& target);
     result<void> apply_entries(std::string_view encoded, segment& target);
@@ -35,6 +38,7 @@
     log_recovery& recovery_;
     std::uint64_t base_{0};
     bool has_base_{false};
+    bool replaced_{false};
 };
 
 } // namespace boragestand::state
--- a/tests/state/durable_storage_test.cpp
+++ b/tests/state/durable_storage_test.cpp
@@ -272,6 +272,39 @@
     }
 }
 
+// Guards against a snapshot that was installed without the reset of the log, by
+// a kill or a full disk between the two: entries that are then acknowledged
+// follow the old ones on disk, which a later start took for damage, or for an
+// old log that the snapshot replaces.
+TEST(durable_storage, goes_on_after_a_snapshot_whose_reset_is_missing)
+{
+    for (const protocol::log_position installed :
+         {protocol::log_position{10, 2}, protocol::log_position{2, 2}})
+    {
+        SCOPED_TRACE("snapshot at " + std::to_string(installed.index));
+        crash_disk files;
+        hard_state_store hard(files);
+        require_success(hard.create(replica_id{7}));
+        {
+            log_recovery before;
+            auto log = durable_log::open(files, {}, before, segment_size);
+            require_success(log->append(make_entries(1, 3, 1)));
+        }
+        require_success(snapshot_store(files).save({installed, {}, "state"}));
+
+        log_recovery recovery;
+        auto log = durable_log::open(files, installed, recovery, segment_size);
+        ASSERT_TRUE(log);
+        EXPECT_TRUE(recovery.entries.empty());
+        const auto next = make_entries(installed.index + 1, 2, 2);
+        require_success(log->append(next));
+
+        const auto later = recover(files);
+        ASSERT_TRUE(later) << later.error().message;
+        EXPECT_EQ(later->recovery.entries, next);
+    }
+}
+
 // Guards against corruption that recovery mistakes for a torn tail and
 // truncates.
 TEST(durable_storage, refuses_every_changed_byte_and_keeps_the_file)
