Forget joins that can no longer replace a member

Cause: the joins of the first start stayed in member_joins. The removal of a member cancelled one of them instead of the join of its successor, which then counted for a second member.

Change: joins are kept for the longest silence before a removal plus the time that a successor comes early.

Result: member_to_remove.counts_each_successor_once, now with an old join, passes; all 10 tests of member_to_remove pass.

--- a/src/agreement/member_removal.cpp
+++ b/src/agreement/member_removal.cpp
@@ -31,6 +31,8 @@
 void member_joins::observe(const protocol::replica_group& group,
                            replica_id self, time_point now)
 {
+    std::erase_if(joins_,
+                  [&](time_point joined) { return now - joined > lifetime_; });
     if (group.members.empty())
     {
         was_outside_ = true;
--- a/src/agreement/member_removal.hpp
+++ b/src/agreement/member_removal.hpp
@@ -13,6 +13,10 @@
 class member_joins
 {
 public:
+    /// Joins count for a lifetime, the longest silence before a removal and
+    /// the succession of removal_limits together.
+    explicit member_joins(duration lifetime) : lifetime_(lifetime) {}
+
     /// Records what has changed since the last call. A member that leaves
     /// cancels the oldest join, so that no join replaces two members.
     void observe(const protocol::replica_group& group, replica_id self,
@@ -22,6 +26,7 @@
     bool has_joined_since(time_point since) const;
 
 private:
+    duration lifetime_;
     std::set<replica_id> known_;
     std::vector<time_point> joins_; ///< oldest first
     bool was_outside_{false};       ///< this replica has run without a group
--- a/src/coordination/upstream_checks.cpp
+++ b/src/coordination/upstream_checks.cpp
@@ -9,8 +9,8 @@
 // A page of 200 records with the longest names takes 0.1 MB.
 constexpr std::size_t max_name_size = 255;
 
-// The share of new flows follows the slots; more than one host can run at once
-// would draw all of them.
+// New flows are shared by slots. An upstream with more than a machine can serve
+// would draw nearly all of them.
 constexpr std::uint32_t max_slots = 65535;
 
 // Integers up to this size pass through all JSON writers unchanged (RFC 8259,
--- a/src/fleet/control_node.hpp
+++ b/src/fleet/control_node.hpp
@@ -5,6 +5,7 @@
 #include "fleet/directory_server.hpp"
 #include "fleet/directory_store.hpp"
 #include "fleet/fault_tolerance.hpp"
+#include "fleet/fleet_times.hpp"
 #include "fleet/leave_confirmations.hpp"
 #include "fleet/log_limits.hpp"
 #include "fleet/plan_machine.hpp"
@@ -169,7 +170,7 @@
     std::unique_ptr<transport::http2_server> server_;
     transport::subscription ticks_;
     time_point started_;
-    agreement::member_joins joins_;
+    agreement::member_joins joins_{lost_member_silence + successor_delay};
     duration_histogram submissions_;
     bool removal_pending_{false};
     bool was_current_{false};
--- a/tests/agreement/member_removal_test.cpp
+++ b/tests/agreement/member_removal_test.cpp
@@ -13,6 +13,7 @@
 constexpr time_point now{1h};
 constexpr replica_id self{1};
 constexpr removal_limits limits{10s, 3s, 4s, smallest_group_for(1)};
+constexpr duration join_lifetime = limits.lost + limits.succession;
 
 protocol::replica_group group_of(std::size_t voters, std::size_t learners = 0)
 {
@@ -41,7 +42,7 @@
 member_joins joins_to(std::size_t members,
                       std::initializer_list<duration> times_ago)
 {
-    member_joins joins;
+    member_joins joins(join_lifetime);
     joins.observe(group_of(members), self, now - 1min);
     for (const auto ago : times_ago)
     {
@@ -53,7 +54,7 @@
 /// Identity of the member to remove, 0 if there is none.
 std::uint64_t removed(const protocol::replica_group& group,
                       const std::vector<member_silence>& silent,
-                      const member_joins& joins = {})
+                      const member_joins& joins = member_joins(join_lifetime))
 {
     const auto member = member_to_remove(group, silent, joins, limits, now);
     return member ? member->id.value : 0;
@@ -96,7 +97,7 @@
 // Guards against one successor in whose place two members are removed.
 TEST(member_to_remove, counts_each_successor_once)
 {
-    auto joins = joins_to(5, {2s});
+    auto joins = joins_to(4, {30s, 2s});
     auto group = group_of(6);
     const auto silent = silences({10ms, 4s, 5s, 10ms, 10ms});
     ASSERT_EQ(removed(group, silent, joins), 4U);
@@ -122,7 +123,7 @@
 {
     auto group = group_of(5);
     group.members.front().admission_index = 17;
-    member_joins joins;
+    member_joins joins(join_lifetime);
     joins.observe({}, self, now - 3s);
     joins.observe(group, self, now - 2s);
     EXPECT_EQ(removed(group, silences({10ms, 4s, 10ms, 10ms}), joins), 3U);
@@ -132,7 +133,7 @@
 // that is a little late.
 TEST(member_to_remove, takes_no_known_member_for_a_successor)
 {
-    member_joins joins;
+    member_joins joins(join_lifetime);
     joins.observe(group_of(5), self, now - 2s);
     EXPECT_EQ(removed(group_of(5), silences({10ms, 4s, 10ms, 10ms}), joins),
               0U);
