Log size and time of plans that entry instances receive

Change: an entry instance writes plan_received with the bytes of the reply, the time since its request and the time spent on decoding and applying. A request that timed out names how many bytes of its answer had arrived. No logic changes.

Ruled out: logging the start of each reply at the control instance, which would write a line for each entry instance and change.

--- a/src/fleet/directory_client.cpp
+++ b/src/fleet/directory_client.cpp
@@ -60,6 +60,7 @@
                                           std::to_string(response->status)});
         return;
     }
+    const auto received_at = timers_.now();
     auto reply = coordination::decode_directory_reply(response->body);
     if (!reply)
     {
@@ -74,7 +75,9 @@
     cursor_ = reply->cursor;
     current_ = reply->current;
     last_contact_ = asked_at_;
-    const auto update = take_page(std::move(*reply));
+    auto update = take_page(std::move(*reply));
+    update.bytes = response->body.size();
+    update.decode_time = timers_.now() - received_at;
     // The callback may replace this client, so it runs last and the next
     // request is sent on a later turn of the loop.
     retry_ = timers_.after(duration(0), [this](time_point) { send_request(); });
@@ -86,17 +89,17 @@
 {
     if (!pages_)
     {
-        return {std::move(reply), reply_scope::changes, asked_at_};
+        return {std::move(reply), reply_scope::changes, asked_at_, 0, {}};
     }
     pages_->insert(pages_->end(), reply.upstreams.begin(),
                    reply.upstreams.end());
     if (reply.has_more)
     {
-        return {std::move(reply), reply_scope::part, asked_at_};
+        return {std::move(reply), reply_scope::part, asked_at_, 0, {}};
     }
     reply.upstreams = std::move(*pages_);
     pages_.reset();
-    return {std::move(reply), reply_scope::whole, asked_at_};
+    return {std::move(reply), reply_scope::whole, asked_at_, 0, {}};
 }
 
 void directory_client::handle_failure(const error& cause)
--- a/src/fleet/directory_client.hpp
+++ b/src/fleet/directory_client.hpp
@@ -25,6 +25,8 @@
     /// written, for example while this process was paused, so it proves nothing
     /// about a later time.
     time_point asked_at;
+    std::size_t bytes{0};    ///< of the encoded reply
+    duration decode_time{0}; ///< spent on decoding it
 
     auto operator<=>(const directory_update&) const = default;
 };
--- a/src/fleet/entry_node.cpp
+++ b/src/fleet/entry_node.cpp
@@ -139,8 +139,13 @@
     router_.apply(reply.grants, update.asked_at);
     apply_load(reply.load, source, update.asked_at);
     const auto former = router_.plan_version();
+    const auto received_at = timers_.now();
     if (reply.plan && router_.apply(*reply.plan))
     {
+        log_.plan_received(reply.plan->version, update.bytes,
+                           received_at - update.asked_at - update.decode_time,
+                           update.decode_time + timers_.now() - received_at,
+                           source);
         log_.plan_in_force(reply.plan->version, former,
                            reply.plan->routes.size(), source);
     }
--- a/src/fleet/fleet_log.cpp
+++ b/src/fleet/fleet_log.cpp
@@ -231,6 +231,22 @@
                   });
 }
 
+void fleet_log::plan_received(std::uint64_t version, std::size_t bytes,
+                              duration taken, duration processing,
+                              const transport::endpoint& source)
+{
+    lines().write(log_level::info,
+                  [&]
+                  {
+                      return log_line("plan_received")
+                          .with("version", version)
+                          .with("bytes", bytes)
+                          .with("taken_ms", milliseconds(taken))
+                          .with("processing_ms", milliseconds(processing))
+                          .with("source", transport::to_string(source));
+                  });
+}
+
 void fleet_log::member_removed(replica_id member, duration silence)
 {
     lines().write(log_level::warn,
--- a/src/fleet/fleet_log.hpp
+++ b/src/fleet/fleet_log.hpp
@@ -70,6 +70,12 @@
     void plan_in_force(std::uint64_t version, std::uint64_t former,
                        std::size_t routes, const transport::endpoint& source);
 
+    /// A plan arrived in a directory reply of this size. taken is the time from
+    /// the request to the reply, processing that from the reply to the use of
+    /// the plan.
+    void plan_received(std::uint64_t version, std::size_t bytes, duration taken,
+                       duration processing, const transport::endpoint& source);
+
     /// An unresponsive member is removed from the group.
     void member_removed(replica_id member, duration silence);
 
--- a/src/transport/http2_client.cpp
+++ b/src/transport/http2_client.cpp
@@ -143,8 +143,11 @@
             found == calls.end() ? nullptr : found->second.connection.lock();
         const bool silent = connection && connection->received_bytes() ==
                                               found->second.received_at_start;
+        const auto received =
+            found == calls.end() ? 0 : found->second.response.body.size();
         abort(id, error_kind::timeout,
-              to_string(remote) + " did not answer in time.");
+              to_string(remote) + " did not answer in time (" +
+                  std::to_string(received) + " bytes of the answer arrived).");
         if (silent && connection->is_open())
         {
             connection->retire();
