--- a/tests/fleet/fleet_group.cpp
+++ b/tests/fleet/fleet_group.cpp
@@ -18,7 +18,8 @@
 constexpr std::uint16_t port = 7400;
 constexpr std::uint32_t seed_count = 3;
 
-// A process can open the log only once.
+} // namespace
+
 settings::event_log& process_log()
 {
     static const auto log = std::move(
@@ -26,8 +27,6 @@
     return *log;
 }
 
-} // namespace
-
 // Each process uses a network of its own, since tests run at the same time.
 fleet_group::fleet_group()
     : root_(::testing::TempDir() + "fleet_" + std::to_string(::getpid()))
--- a/tests/fleet/fleet_group.hpp
+++ b/tests/fleet/fleet_group.hpp
@@ -10,6 +10,9 @@
 namespace boragestand::fleet
 {
 
+/// The log of this process, which can be opened only once.
+settings::event_log& process_log();
+
 /// Control and entry instances of one fleet in one process and on one loop,
 /// with real sockets and data directories. The first three control instances
 /// are the seeds.
