Send changes of a plan as differences and whole plans in pages

Cause: every change sent the whole plan in one directory reply, whose request had one second in all, its wait for the change included. A reply that was given up left nothing behind, so the next request, at another control instance, began at the first byte. Class of fault: a message whose size grows with the deployment under a time limit that does not.

Change: directory replies only name the version of the plan. The entry instance requests the plan itself beside the directory: the changes since its version if the control instance remembers them, in pages of 256 routes, compressed. The position of a page depends on addresses only, and control instances keep nothing about a transfer, so what has arrived stays valid at another one and with a newer version. Digests show at the end whether the copy is complete; if not, the parts that differ are sent. Requests are limited by the time since the last byte. Instances of the former version still get and send whole plans.

Ruled out: a longer time limit, which delays records of upstreams behind the plan and still grows with it; one compressed blob with byte ranges, whose progress ends with each version.

--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -170,13 +170,6 @@
     {
         return;
     }
-    if (request.method != "POST" || request.path != "/v1/directory")
-    {
-        answer->respond(state::to_http(
-            error{error_kind::not_found,
-                  request.method + " " + request.path + ": no such request"}));
-        return;
-    }
     const auto handled = directory_.handle(request, answer);
     if (!handled)
     {
--- a/src/fleet/directory_client.hpp
+++ b/src/fleet/directory_client.hpp
@@ -25,8 +25,6 @@
     /// written, for example while this process was paused, so it proves nothing
     /// about a later time.
     time_point asked_at;
-    std::size_t bytes{0};    ///< of the encoded reply
-    duration decode_time{0}; ///< spent on decoding it
 
     auto operator<=>(const directory_update&) const = default;
 };
@@ -55,9 +53,20 @@
     /// Sends the first request; polls until stop() or destruction.
     void start() { send_request(); }
 
-    /// Sends no further requests; outstanding replies are ignored.
+    /// Sends no further requests; outstanding replies are ignored, and a page
+    /// of the plan that is outstanding fails with error_kind::cancelled.
     void stop();
 
+    using page_callback =
+        std::function<void(result<coordination::plan_page>, std::size_t bytes)>;
+
+    /// Requests a page of the plan, one at a time, beside the directory.
+    void request_plan(const coordination::plan_request& request,
+                      page_callback callback);
+
+    /// The newest version of the plan that the control instance has named.
+    std::uint64_t named_plan() const { return named_plan_; }
+
     const transport::endpoint& remote() const { return remote_; }
 
     /// When the last request that was answered was sent; none before the first
@@ -68,6 +77,9 @@
     void send_request();
     directory_update take_page(coordination::directory_reply reply);
     void handle_response(const result<transport::http_response>& response);
+    void handle_page(const result<transport::http_response>& response);
+    result<void>
+    check_status(const result<transport::http_response>& response) const;
     void handle_failure(const error& cause);
 
     transport::timer_service& timers_;
@@ -78,6 +90,8 @@
     std::uint64_t epoch_{0};
     std::uint64_t cursor_{0};
     bool current_{false};
+    std::uint64_t named_plan_{0};
+    page_callback page_callback_;
     bool stopped_{false};
     time_point asked_at_;
     std::optional<time_point> last_contact_;
--- a/src/fleet/directory_server.cpp
+++ b/src/fleet/directory_server.cpp
@@ -1,5 +1,6 @@
 #include "fleet/directory_server.hpp"
 
+#include "fleet/directory_paths.hpp"
 #include "fleet/fleet_times.hpp"
 
 #include <algorithm>
@@ -25,6 +26,43 @@
 
 result<void> directory_server::handle(const transport::http_request& request,
                                       const exchange& answer)
+{
+    if (request.method == "POST" && request.path == directory_path)
+    {
+        return handle_directory(request, answer);
+    }
+    if (request.method == "POST" && request.path == plan_path)
+    {
+        return handle_plan(request, answer);
+    }
+    return failure(error_kind::not_found,
+                   request.method + " " + request.path + ": no such request");
+}
+
+directory_server::view directory_server::current_view()
+{
+    auto now = make_view_();
+    plans_.publish(now.plan);
+    return now;
+}
+
+result<void>
+directory_server::handle_plan(const transport::http_request& request,
+                              const exchange& answer)
+{
+    const auto wanted = coordination::decode_plan_request(request.body);
+    if (!wanted)
+    {
+        return tl::unexpected(wanted.error());
+    }
+    answer->respond(
+        {.status = 200, .headers = {}, .body = plans_.answer(*wanted)});
+    return {};
+}
+
+result<void>
+directory_server::handle_directory(const transport::http_request& request,
+                                   const exchange& answer)
 {
     const auto wanted = coordination::decode_directory_request(request.body);
     if (!wanted)
@@ -33,15 +71,19 @@
     }
     record_sender(*wanted);
     take_load(*wanted);
-    const auto now = make_view_();
+    const auto delivery = request.headers.find(plan_delivery_header);
+    const bool includes_plan =
+        !wanted->from_replica && (delivery == request.headers.end() ||
+                                  delivery->second != separate_plan);
+    const auto now = current_view();
     if (has_changes(*wanted, now))
     {
-        reply(*wanted, answer, now);
+        reply(*wanted, includes_plan, answer, now);
         return {};
     }
     const auto id = next_waiting_++;
     waiting_.emplace(
-        id, waiting_request{*wanted, answer,
+        id, waiting_request{*wanted, includes_plan, answer,
                             timers_.after(directory_wait, [this, id](time_point)
                                           { answer_timed_out(id); })});
     return {};
@@ -107,7 +149,8 @@
 }
 
 void directory_server::reply(const directory_request& request,
-                             const exchange& answer, const view& now)
+                             bool includes_plan, const exchange& answer,
+                             const view& now)
 {
     directory_reply message;
     message.epoch = epoch_;
@@ -136,7 +179,7 @@
     {
         message.refreshes = take_refreshes(request.sender);
     }
-    else if (now.plan->version > request.plan_version)
+    else if (includes_plan && now.plan->version > request.plan_version)
     {
         message.plan = *now.plan;
     }
@@ -214,11 +257,7 @@
 
 void directory_server::publish()
 {
-    if (waiting_.empty())
-    {
-        return;
-    }
-    const auto now = make_view_();
+    const auto now = current_view();
     for (auto it = waiting_.begin(); it != waiting_.end();)
     {
         if (!has_changes(it->second.request, now))
@@ -228,7 +267,7 @@
         }
         const auto done = std::move(it->second);
         it = waiting_.erase(it);
-        reply(done.request, done.answer, now);
+        reply(done.request, done.includes_plan, done.answer, now);
     }
 }
 
@@ -241,7 +280,7 @@
     }
     const auto done = std::move(found->second);
     waiting_.erase(found);
-    reply(done.request, done.answer, make_view_());
+    reply(done.request, done.includes_plan, done.answer, current_view());
 }
 
 } // namespace boragestand::fleet
--- a/src/fleet/directory_server.hpp
+++ b/src/fleet/directory_server.hpp
@@ -11,9 +11,10 @@
 namespace boragestand::fleet
 {
 
-/// Answers POST /v1/directory of entry and control instances with the changes
-/// since their last request (long polling): a request waits until there is a
-/// change or directory_wait has passed.
+/// Answers requests of entry and control instances: POST /v1/directory with the
+/// changes since the sender's last request (long polling, a request waits until
+/// there is a change or directory_wait has passed), and POST /v1/plan of entry
+/// instances with a page of the plan, at once.
 class directory_server
 {
 public:
@@ -33,7 +34,9 @@
                      transport::timer_service& timers, std::uint64_t epoch,
                      std::function<view()> make_view);
 
-    /// Answers one request now or later; an error if it cannot be read.
+    /// Answers one request now or later; error_kind::not_found if it has
+    /// another method or path, error_kind::malformed_message if it cannot be
+    /// read.
     result<void> handle(const transport::http_request& request,
                         const exchange& answer);
 
@@ -85,6 +88,8 @@
     /// index.
     std::size_t entry_count_with_evacuations(std::uint64_t index) const;
 
+    const coordination::plan_publisher& plans() const { return plans_; }
+
 private:
     struct entry_instance
     {
@@ -95,10 +100,16 @@
     struct waiting_request
     {
         coordination::directory_request request;
+        bool includes_plan{false};
         exchange answer;
         transport::subscription timeout;
     };
 
+    view current_view();
+    result<void> handle_directory(const transport::http_request& request,
+                                  const exchange& answer);
+    result<void> handle_plan(const transport::http_request& request,
+                             const exchange& answer);
     bool has_changes(const coordination::directory_request& request,
                      const view& now) const;
     void take_load(const coordination::directory_request& request);
@@ -106,7 +117,7 @@
     std::vector<coordination::upstream_refresh>
     take_refreshes(const transport::endpoint& replica);
     void reply(const coordination::directory_request& request,
-               const exchange& answer, const view& now);
+               bool includes_plan, const exchange& answer, const view& now);
     void answer_timed_out(std::uint64_t id);
 
     const coordination::upstream_registry& registry_;
@@ -117,6 +128,7 @@
     grant_function make_grants_;
     bad_load_function bad_load_callback_;
     coordination::load_exchange load_;
+    coordination::plan_publisher plans_;
     std::map<std::uint64_t, waiting_request> waiting_;
     std::uint64_t next_waiting_{1};
     std::map<transport::endpoint, std::uint64_t> acknowledged_;
--- a/src/fleet/directory_subscription.cpp
+++ b/src/fleet/directory_subscription.cpp
@@ -173,6 +173,25 @@
     }
 }
 
+directory_client*
+directory_subscription::plan_source(std::uint64_t version) const
+{
+    directory_client* best = nullptr;
+    for (const auto& each : candidates_)
+    {
+        const auto named = each.client->named_plan();
+        if (in_contact_ && each.control == source_)
+        {
+            return named > version ? each.client.get() : nullptr;
+        }
+        if (named > version && (best == nullptr || named > best->named_plan()))
+        {
+            best = each.client.get();
+        }
+    }
+    return best;
+}
+
 void directory_subscription::handle_reply(const transport::endpoint& control,
                                           const directory_update& update)
 {
--- a/src/fleet/directory_subscription.hpp
+++ b/src/fleet/directory_subscription.hpp
@@ -48,6 +48,12 @@
     /// The control instance in contact, or the first one being queried.
     transport::endpoint source() const { return source_; }
 
+    /// Client of the control instance to request a plan from: the one in
+    /// contact or, while there is none, the one that names the newest version.
+    /// Null if it names none above this one. Valid until the next turn of the
+    /// loop.
+    directory_client* plan_source(std::uint64_t version) const;
+
 private:
     /// A control instance that is being queried.
     struct candidate
--- a/src/fleet/entry_node.cpp
+++ b/src/fleet/entry_node.cpp
@@ -52,6 +52,14 @@
     , settings_(settings)
     , log_(log)
     , router_(settings.router)
+    , plan_(timers, log,
+            {[this](std::uint64_t version)
+             { return directory_.plan_source(version); },
+             [this](const coordination::plan_update& update,
+                    const transport::endpoint& source)
+             {
+                 put_into_force(update, source);
+             }})
     , directory_(loop, timers, settings.seeds, settings.address.address, log,
                  {[this] { return make_request(); },
                   [this](const directory_update& update,
@@ -138,27 +146,29 @@
     // process was paused.
     router_.apply(reply.grants, update.asked_at);
     apply_load(reply.load, source, update.asked_at);
-    const auto former = router_.plan_version();
-    const auto received_at = timers_.now();
-    if (reply.plan && router_.apply(*reply.plan))
-    {
-        log_.plan_received(reply.plan->version, update.bytes,
-                           received_at - update.asked_at - update.decode_time,
-                           update.decode_time + timers_.now() - received_at,
-                           source);
-        log_.plan_in_force(reply.plan->version, former,
-                           reply.plan->routes.size(), source);
-    }
-    if (former == 0 && router_.plan_version() > 0 && first_plan_callback_)
+    if (reply.plan)
     {
-        std::exchange(first_plan_callback_, {})();
+        plan_.replace(*reply.plan, source);
     }
+    plan_.follow(reply.plan_version);
     if (reply.current && reply.plan_version <= router_.plan_version())
     {
         router_.confirm_plan(update.asked_at);
     }
 }
 
+void entry_node::put_into_force(const coordination::plan_update& update,
+                                const transport::endpoint& source)
+{
+    const auto former = router_.plan_version();
+    router_.apply(update);
+    log_.plan_in_force(update.version, former, router_.route_count(), source);
+    if (former == 0 && first_plan_callback_)
+    {
+        std::exchange(first_plan_callback_, {})();
+    }
+}
+
 traffic::token_decision entry_node::decide(const traffic::token_packet& packet,
                                            time_point now)
 {
@@ -216,6 +226,7 @@
                  router_.upstream_count());
     append_gauge(text, "boragestand_plan_version",
                  "Version of the plan in force", router_.plan_version());
+    plan_.append_metrics(text, now);
     if (!evacuations_.empty())
     {
         coordination::append_evacuations(text, evacuations_);
--- a/src/fleet/entry_node.hpp
+++ b/src/fleet/entry_node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/directory_subscription.hpp"
+#include "fleet/plan_follower.hpp"
 #include "traffic/traffic.hpp"
 
 #include <functional>
@@ -74,6 +75,8 @@
     coordination::directory_request make_request();
     void apply_update(const directory_update& update,
                       const transport::endpoint& source);
+    void put_into_force(const coordination::plan_update& update,
+                        const transport::endpoint& source);
     std::string make_load_report(time_point now);
     void apply_load(const std::string& aggregate,
                     const transport::endpoint& source, time_point asked_at);
@@ -86,6 +89,7 @@
     fleet_log& log_;
     traffic::token_router router_;
     std::vector<coordination::evacuation_notice> evacuations_;
+    plan_follower plan_;
     directory_subscription directory_;
     std::function<void()> first_plan_callback_;
     transport::subscription sweep_;
--- a/src/fleet/fleet_log.cpp
+++ b/src/fleet/fleet_log.cpp
@@ -231,22 +231,41 @@
                   });
 }
 
-void fleet_log::plan_received(std::uint64_t version, std::size_t bytes,
-                              duration taken, duration processing,
+void fleet_log::plan_received(const plan_transfer& transfer,
                               const transport::endpoint& source)
 {
     lines().write(log_level::info,
                   [&]
                   {
                       return log_line("plan_received")
-                          .with("version", version)
-                          .with("bytes", bytes)
-                          .with("taken_ms", milliseconds(taken))
-                          .with("processing_ms", milliseconds(processing))
+                          .with("version", transfer.version)
+                          .with("bytes", transfer.bytes)
+                          .with("pages", transfer.pages)
+                          .with("taken_ms", milliseconds(transfer.taken))
+                          .with("processing_ms",
+                                milliseconds(transfer.processing))
                           .with("source", transport::to_string(source));
                   });
 }
 
+void fleet_log::plan_interrupted(std::uint64_t version, std::size_t bytes,
+                                 std::size_t pages, std::string_view reason,
+                                 const transport::endpoint& source,
+                                 time_point now)
+{
+    lines().write_limited(log_level::warn,
+                          "plan " + transport::to_string(source), now,
+                          [&]
+                          {
+                              return log_line("plan_interrupted")
+                                  .with("version", version)
+                                  .with("bytes", bytes)
+                                  .with("pages", pages)
+                                  .with("source", transport::to_string(source))
+                                  .with("reason", reason);
+                          });
+}
+
 void fleet_log::member_removed(replica_id member, duration silence)
 {
     lines().write(log_level::warn,
--- a/src/fleet/fleet_log.hpp
+++ b/src/fleet/fleet_log.hpp
@@ -70,11 +70,27 @@
     void plan_in_force(std::uint64_t version, std::uint64_t former,
                        std::size_t routes, const transport::endpoint& source);
 
-    /// A plan arrived in a directory reply of this size. taken is the time from
-    /// the request to the reply, processing that from the reply to the use of
-    /// the plan.
-    void plan_received(std::uint64_t version, std::size_t bytes, duration taken,
-                       duration processing, const transport::endpoint& source);
+    /// How the plan of one version arrived.
+    struct plan_transfer
+    {
+        std::uint64_t version{0};
+        std::size_t bytes{0};
+        std::size_t pages{0};
+        duration taken{0};      ///< from the first request to the last page
+        duration processing{0}; ///< decoding and applying
+
+        auto operator<=>(const plan_transfer&) const = default;
+    };
+
+    /// A plan arrived and is in force.
+    void plan_received(const plan_transfer& transfer,
+                       const transport::endpoint& source);
+
+    /// A page of a plan did not arrive, after these bytes and pages of the
+    /// transfer; rate-limited.
+    void plan_interrupted(std::uint64_t version, std::size_t bytes,
+                          std::size_t pages, std::string_view reason,
+                          const transport::endpoint& source, time_point now);
 
     /// An unresponsive member is removed from the group.
     void member_removed(replica_id member, duration silence);
--- a/src/fleet/fleet_times.hpp
+++ b/src/fleet/fleet_times.hpp
@@ -16,6 +16,14 @@
 constexpr duration directory_timeout =
     directory_wait + std::chrono::milliseconds(500);
 
+/// Longest pause between two bytes of a page of the plan: some round trips, one
+/// scheduling delay of a machine with 0.05 of a core, and other packets on the
+/// link.
+constexpr duration plan_page_timeout = std::chrono::seconds(1);
+
+/// Pause after a request for a page of the plan that failed.
+constexpr duration plan_retry = std::chrono::milliseconds(150);
+
 /// Pause after a directory request that failed.
 constexpr duration directory_retry = std::chrono::milliseconds(150);
 
--- a/src/state/state.hpp
+++ b/src/state/state.hpp
@@ -21,6 +21,7 @@
 #include "state/pin_table.hpp"
 #include "state/plan_check.hpp"
 #include "state/plan_comparison.hpp"
+#include "state/plan_digest.hpp"
 #include "state/release_note.hpp"
 #include "state/routing_plan.hpp"
 #include "state/snapshot_store.hpp"
--- a/src/traffic/token_router.cpp
+++ b/src/traffic/token_router.cpp
@@ -90,21 +90,49 @@
     routes_.clear();
     for (const auto& route : plan.routes)
     {
-        auto& target = routes_[route.address];
-        target.route = route;
-        for (const auto& each : route.services)
-        {
-            target.total_weight += each.weight;
-        }
+        set_route(std::make_shared<const state::service_route>(route));
+    }
+    return true;
+}
+
+bool token_router::apply(const coordination::plan_update& update)
+{
+    if (update.version <= plan_version_)
+    {
+        return false;
+    }
+    plan_version_ = update.version;
+    if (update.settings)
+    {
+        pool_.apply(update.settings->services);
+    }
+    for (const auto& address : update.removed)
+    {
+        routes_.erase(address);
+    }
+    for (const auto& route : update.routes)
+    {
+        set_route(route);
     }
     return true;
 }
 
+void token_router::set_route(std::shared_ptr<const state::service_route> route)
+{
+    auto& target = routes_[route->address];
+    target.total_weight = 0;
+    for (const auto& each : route->services)
+    {
+        target.total_weight += each.weight;
+    }
+    target.route = std::move(route);
+}
+
 const state::service_route*
 token_router::find_route(const transport::endpoint& destination) const
 {
     const auto found = routes_.find(destination);
-    return found == routes_.end() ? nullptr : &found->second.route;
+    return found == routes_.end() ? nullptr : found->second.route.get();
 }
 
 token_decision token_router::drop(token_drop_reason reason)
@@ -227,7 +255,7 @@
                                                 std::uint64_t hash) const
 {
     auto rest = hash % std::max<std::uint64_t>(target.total_weight, 1);
-    for (const auto& each : target.route.services)
+    for (const auto& each : target.route->services)
     {
         if (rest < each.weight)
         {
@@ -235,7 +263,7 @@
         }
         rest -= each.weight;
     }
-    return target.route.services.back().service;
+    return target.route->services.back().service;
 }
 
 token_decision token_router::place_flow(const token_packet& packet,
--- a/src/traffic/token_router.hpp
+++ b/src/traffic/token_router.hpp
@@ -38,6 +38,10 @@
     /// newer than the one in force.
     bool apply(const state::routing_plan& plan);
 
+    /// Changes the plan in force to a newer one. Returns false and ignores an
+    /// update that is not newer.
+    bool apply(const coordination::plan_update& update);
+
     /// Applies grants of cold upstreams.
     void apply(const std::vector<coordination::warmup_grant>& grants,
                time_point now)
@@ -91,6 +95,7 @@
     find_route(const transport::endpoint& destination) const;
 
     std::uint64_t plan_version() const { return plan_version_; }
+    std::size_t route_count() const { return routes_.size(); }
     std::size_t flow_count() const { return flows_.size(); }
     std::size_t upstream_count() const { return pool_.size(); }
     const token_router_counters& counters() const { return counters_; }
@@ -128,10 +133,11 @@
 
     struct route_target
     {
-        state::service_route route;
+        std::shared_ptr<const state::service_route> route;
         std::uint64_t total_weight{0};
     };
 
+    void set_route(std::shared_ptr<const state::service_route> route);
     flow_record* find_flow(const token_flow& flow, time_point now);
     bool belongs_to(const token_packet& packet,
                     const flow_record& record) const;
--- a/src/transport/http2_client.cpp
+++ b/src/transport/http2_client.cpp
@@ -28,6 +28,7 @@
         std::int32_t stream{-1};
         std::uint64_t received_at_start{0}; ///< bytes at the start of the call
         subscription timeout;
+        duration silence_limit{0}; ///< restarts the time-out; 0: it does not
         http_response response;
         response_callback callback;
     };
@@ -169,6 +170,16 @@
             return;
         }
         body.append(bytes);
+        if (found->second.silence_limit > duration(0))
+        {
+            start_timeout(id, found->second.silence_limit);
+        }
+    }
+
+    void start_timeout(std::uint64_t id, duration timeout)
+    {
+        calls[id].timeout =
+            timers.after(timeout, [this, id](time_point) { time_out(id); });
     }
 
     void set_headers(std::uint64_t id, int status, http_headers headers)
@@ -230,13 +241,14 @@
     }
 
     void start(http_request request, duration timeout,
-               response_callback callback)
+               response_callback callback, time_limit limit)
     {
         const std::uint64_t id = next_call_id++;
         call& added = calls[id];
         added.callback = std::move(callback);
-        added.timeout =
-            timers.after(timeout, [this, id](time_point) { time_out(id); });
+        added.silence_limit =
+            limit == time_limit::silence ? timeout : duration(0);
+        start_timeout(id, timeout);
         submit(id, std::move(request));
     }
 
@@ -263,9 +275,10 @@
 }
 
 void http2_client::request(http_request request, duration timeout,
-                           response_callback callback)
+                           response_callback callback, time_limit limit)
 {
-    implementation_->start(std::move(request), timeout, std::move(callback));
+    implementation_->start(std::move(request), timeout, std::move(callback),
+                           limit);
 }
 
 subscription http2_client::stream(http_request request,
--- a/src/transport/http2_client.hpp
+++ b/src/transport/http2_client.hpp
@@ -25,6 +25,13 @@
 public:
     using response_callback = std::function<void(result<http_response>)>;
 
+    /// What the time-out of a request limits.
+    enum class time_limit : std::uint8_t
+    {
+        whole,  ///< the time until the response is complete
+        silence ///< the time without a further byte of the response
+    };
+
     /// Callbacks of a streamed response.
     struct stream_callbacks
     {
@@ -44,7 +51,8 @@
     /// Sends a request. The callback runs once, with error_kind::timeout if the
     /// response is not complete in time.
     void request(http_request request, duration timeout,
-                 response_callback callback);
+                 response_callback callback,
+                 time_limit limit = time_limit::whole);
 
     /// Sends a request whose response body is delivered in parts. The stream
     /// ends when the subscription is destroyed.
--- a/tests/fleet/directory_server_test.cpp
+++ b/tests/fleet/directory_server_test.cpp
@@ -1,4 +1,5 @@
 #include "fleet/fleet.hpp"
+#include "recorded_exchange.hpp"
 
 #include <gtest/gtest.h>
 
@@ -12,31 +13,6 @@
 
 using namespace std::chrono_literals;
 
-/// Keeps the response to one request.
-class recorded_exchange final : public transport::http_exchange
-{
-public:
-    void respond(transport::http_response response) override
-    {
-        response_ = std::move(response);
-    }
-    void start_stream(int, transport::http_headers) override {}
-    void send_chunk(std::string_view) override {}
-    void finish_stream() override {}
-    bool is_open() const override { return !response_; }
-    std::size_t backlog() const override { return 0; }
-    void on_abandoned(std::function<void()>) override {}
-    transport::endpoint peer() const override { return {}; }
-
-    const std::optional<transport::http_response>& response() const
-    {
-        return response_;
-    }
-
-private:
-    std::optional<transport::http_response> response_;
-};
-
 class directory_server_test : public testing::Test
 {
 protected:
@@ -58,6 +34,8 @@
         request.from_replica = true;
         request.sender = {1, 2};
         transport::http_request message;
+        message.method = "POST";
+        message.path = "/v1/directory";
         message.body = coordination::encode_message(request);
         const auto exchange = std::make_shared<recorded_exchange>();
         EXPECT_TRUE(server_.handle(message, exchange));
--- a/tests/fleet/slow_link.cpp
+++ b/tests/fleet/slow_link.cpp
@@ -65,12 +65,6 @@
     ticks_ = timers.every(tick, [this](time_point now) { relay(now); });
 }
 
-void slow_link::set_remote(const transport::endpoint& remote)
-{
-    remote_ = remote;
-    connections_.clear();
-}
-
 void slow_link::accept(transport::unique_fd caller)
 {
     connections_.push_back(
--- a/tests/fleet/slow_link.hpp
+++ b/tests/fleet/slow_link.hpp
@@ -24,9 +24,8 @@
         return listener_.local_endpoint();
     }
 
-    /// Relays new connections to another instance; cuts off those that are
-    /// open.
-    void set_remote(const transport::endpoint& remote);
+    /// Closes all connections.
+    void cut_connections() { connections_.clear(); }
 
     /// Bytes of answers that were passed on.
     std::size_t relayed_bytes() const { return relayed_; }
--- a/tests/tokens/token_router_test.cpp
+++ b/tests/tokens/token_router_test.cpp
@@ -68,6 +68,30 @@
     EXPECT_EQ(dropped(syn(2, unknown)), token_drop_reason::no_plan);
 }
 
+// Guards against an update of the plan that leaves a removed route in force, or
+// changes one that it does not name.
+TEST_F(token_router_test, changes_only_the_routes_of_an_update)
+{
+    add({upstream(1, "desk"), upstream(2, "maps")});
+    const auto moved =
+        std::make_shared<state::service_route>(*router_.find_route(desk));
+    moved->services = {{"maps", 1}};
+    coordination::plan_update update;
+    update.version = router_.plan_version() + 1;
+    update.routes = {moved};
+    EXPECT_TRUE(router_.apply(update));
+    EXPECT_EQ(forwarded(syn(1)).upstream, 2U);
+    EXPECT_EQ(forwarded(syn(2, maps)).upstream, 2U);
+    update.routes.clear();
+    update.removed = {maps};
+    EXPECT_FALSE(router_.apply(update));
+    ++update.version;
+    EXPECT_TRUE(router_.apply(update));
+    EXPECT_TRUE(std::holds_alternative<reset_caller>(
+        router_.decide(syn(3, maps), now_)));
+    EXPECT_EQ(forwarded(syn(4)).upstream, 2U);
+}
+
 // Guards against a newer plan that is replaced by an older version.
 TEST_F(token_router_test, ignores_older_plans)
 {
--- a/tests/transport/http2_test.cpp
+++ b/tests/transport/http2_test.cpp
@@ -347,4 +347,47 @@
     EXPECT_TRUE(second);
 }
 
+// Guards against a response that is given up although its bytes keep arriving,
+// and against one that is awaited after they have stopped.
+TEST_F(http2, limits_the_silence_of_a_response)
+{
+    subscription sending;
+    listen(any_local_port,
+           [&](const http_request& request, const exchange_ptr& exchange)
+           {
+               exchange->start_stream(200, {});
+               sending = timers_.every(50ms,
+                                       [exchange, left = 8](time_point) mutable
+                                       {
+                                           exchange->send_chunk("x");
+                                           if (--left == 0)
+                                           {
+                                               exchange->finish_stream();
+                                           }
+                                       });
+               if (request.path == "/stops")
+               {
+                   sending = timers_.after(50ms, [exchange](time_point)
+                                           { exchange->send_chunk("x"); });
+               }
+           });
+    const auto ask = [this](const std::string& path)
+    {
+        std::optional<result<http_response>> outcome;
+        client_->request(
+            {.path = path}, 200ms,
+            [&](result<http_response> response)
+            { outcome = std::move(response); },
+            http2_client::time_limit::silence);
+        run_until([&] { return outcome.has_value(); });
+        return *outcome;
+    };
+    const auto slow = ask("/slow");
+    ASSERT_TRUE(slow) << slow.error().message;
+    EXPECT_EQ(slow->body, "xxxxxxxx");
+    const auto stopped = ask("/stops");
+    ASSERT_FALSE(stopped);
+    EXPECT_EQ(stopped.error().kind, error_kind::timeout);
+}
+
 } // namespace boragestand::transport
