--- a/src/fleet/control_node_metrics.cpp
+++ b/src/fleet/control_node_metrics.cpp
@@ -25,6 +25,11 @@
                  node.group().members.size());
     append_gauge(text, "boragestand_plan_version",
                  "Version of the plan in force", plan().version);
+    append_counter(text, "boragestand_plan_pages_total",
+                   "Pages of plans sent to entry instances",
+                   directory_.plans().pages());
+    append_counter(text, "boragestand_plan_bytes_total", "Bytes of these pages",
+                   directory_.plans().bytes());
     append_gauge(text, "boragestand_upstreams", "Upstreams known",
                  registry_.size());
     append_gauge(text, "boragestand_entries",
