Decode submitted plans beside the main loop

Cause: decoding the document took 0.9 to 1.1 s on the main loop, longer than the 600 ms that followers wait for their leader. Followers decoded the document only to answer that another instance leads. Class of fault: work that grows with the deployment under a time limit that does not.

Change: a thread decodes, checks and encodes plans for a leader; others answer at once. background_worker runs functions on a thread and delivers their results on the loop.

Ruled out: a longer election timeout, which delays every change of leader; a faster decoder alone, which moves the limit to larger plans.

--- a/src/fleet/control_node.cpp
+++ b/src/fleet/control_node.cpp
@@ -467,36 +467,51 @@
                 std::move(callback));
 }
 
-void control_node::submit(state::submitted_plan plan, done_callback callback)
+result<prepared_plan> prepare_plan(const state::submitted_plan& plan)
 {
     const auto checked = state::check_plan(plan.plan);
     if (!checked)
     {
-        callback(checked);
+        return tl::unexpected(checked.error());
+    }
+    auto command = state::encode_plan(plan);
+    // What is committed must decode everywhere: a compressed plan is smaller
+    // than the limit of its content.
+    if (!state::decode_submitted_plan(command))
+    {
+        return failure(error_kind::resource_exhausted,
+                       "the plan is larger than a control instance reads");
+    }
+    return prepared_plan{plan.plan.version, std::move(command)};
+}
+
+void control_node::submit(const state::submitted_plan& plan,
+                          done_callback callback)
+{
+    auto prepared = prepare_plan(plan);
+    if (!prepared)
+    {
+        callback(tl::unexpected(prepared.error()));
         return;
     }
+    submit(std::move(*prepared), std::move(callback));
+}
+
+void control_node::submit(prepared_plan plan, done_callback callback)
+{
     if (!runner_->is_leader())
     {
         callback(failure(error_kind::not_leader, "another instance leads"));
         return;
     }
     // The highest version is in force already, so this one changes nothing.
-    if (plan.plan.version <= machine_.current()->plan.version)
+    if (plan.version <= machine_.current()->plan.version)
     {
         callback({});
         return;
     }
-    auto command = state::encode_plan(plan);
-    // What is committed must decode everywhere: a compressed plan is smaller
-    // than the limit of its content.
-    if (!state::decode_submitted_plan(command))
-    {
-        callback(failure(error_kind::resource_exhausted,
-                         "the plan is larger than a control instance reads"));
-        return;
-    }
     runner_->submit(
-        std::move(command),
+        std::move(plan.command),
         [this, callback = std::move(callback),
          started = timers_.now()](const result<std::uint64_t>& index)
         {
--- a/src/fleet/control_node.hpp
+++ b/src/fleet/control_node.hpp
@@ -39,6 +39,20 @@
     log_limits limits{log_limits_for(0, 0)};
 };
 
+/// A plan that was checked and encoded for the replicated log.
+struct prepared_plan
+{
+    std::uint64_t version{0};
+    std::string command;
+
+    auto operator<=>(const prepared_plan&) const = default;
+};
+
+/// Checks and encodes a plan. error_kind::invalid_argument if it is invalid,
+/// error_kind::resource_exhausted if control instances could not read it. May
+/// run on any thread.
+result<prepared_plan> prepare_plan(const state::submitted_plan& plan);
+
 /// A control instance of a fleet with automatic discovery. Replicates the plan,
 /// keeps the registry of upstreams and serves both to entry instances.
 class control_node
@@ -67,9 +81,10 @@
                       std::optional<std::uint64_t> incarnation,
                       done_callback callback);
 
-    /// Puts a plan into force. error_kind::invalid_argument if it is invalid,
+    /// Puts a plan into force. Errors as of prepare_plan();
     /// error_kind::not_leader on other instances than the leader.
-    void submit(state::submitted_plan plan, done_callback callback);
+    void submit(const state::submitted_plan& plan, done_callback callback);
+    void submit(prepared_plan plan, done_callback callback);
 
     /// Puts an evacuation, or its end, into force. An order that changes
     /// nothing succeeds. error_kind::not_found if the data centre is not known,
--- a/src/transport/transport.hpp
+++ b/src/transport/transport.hpp
@@ -4,6 +4,7 @@
 /// sockets, HTTP/2 connections and HTTP/1.1 servers. It does not depend on the
 /// messages that it carries.
 
+#include "transport/background_worker.hpp"
 #include "transport/endpoint.hpp"
 #include "transport/http1_server.hpp"
 #include "transport/http2_client.hpp"
--- a/tests/platform/entry_service_test.cpp
+++ b/tests/platform/entry_service_test.cpp
@@ -1,5 +1,6 @@
 #include "entry_service.hpp"
 #include "packet_codec.hpp"
+#include "test_log.hpp"
 
 #include <gtest/gtest.h>
 
@@ -16,13 +17,6 @@
 constexpr transport::endpoint any_local_port{0x7f000001, 0};
 constexpr transport::endpoint desk{0xc6120001, 443};
 
-settings::event_log& quiet_log()
-{
-    static const auto log = std::move(
-        *settings::event_log::open({settings::log_level::error, ""}, "test"));
-    return *log;
-}
-
 transport::udp_socket local_socket()
 {
     auto socket = transport::udp_socket::bind(any_local_port);
