Accept a page after a whole plan has ended its transfer

Cause: while a page was outstanding, a control instance of the former version could send a whole plan, which ended the transfer; the page that arrived then was counted in a transfer that did not exist (undefined behaviour). Found by reading the change, not seen in a run: in a release build the test passes without the fix, too.

Change: the counts of a transfer are created on demand.

--- a/src/fleet/plan_follower.cpp
+++ b/src/fleet/plan_follower.cpp
@@ -46,10 +46,7 @@
     {
         return;
     }
-    if (!transfer_)
-    {
-        transfer_ = transfer{timers_.now(), 0, 0, duration(0)};
-    }
+    current_transfer();
     outstanding_ = true;
     client->request_plan(
         copy_.make_request(),
@@ -58,23 +55,35 @@
         { handle_page(source, page, bytes); });
 }
 
+// A whole plan of an earlier program can end a transfer while a page is
+// outstanding.
+plan_follower::transfer& plan_follower::current_transfer()
+{
+    if (!transfer_)
+    {
+        transfer_ = transfer{timers_.now(), 0, 0, duration(0)};
+    }
+    return *transfer_;
+}
+
 void plan_follower::handle_page(const transport::endpoint& source,
                                 const result<coordination::plan_page>& page,
                                 std::size_t bytes)
 {
     outstanding_ = false;
     bytes_ += bytes;
-    transfer_->bytes += bytes;
+    auto& current = current_transfer();
+    current.bytes += bytes;
     if (!page)
     {
         handle_failure(page.error(), source);
         return;
     }
     ++pages_;
-    ++transfer_->pages;
+    ++current.pages;
     const auto arrived = timers_.now();
     const auto update = copy_.apply(*page);
-    transfer_->processing += timers_.now() - arrived;
+    current.processing += timers_.now() - arrived;
     if (!update)
     {
         handle_failure(update.error(), source);
@@ -99,7 +108,8 @@
     if (!replaced)
     {
         ++failures_;
-        log_.plan_interrupted(named_, transfer_->bytes, transfer_->pages,
+        const auto& current = current_transfer();
+        log_.plan_interrupted(named_, current.bytes, current.pages,
                               cause.message, source, timers_.now());
     }
     request_after(replaced ? duration(0) : plan_retry);
--- a/src/fleet/plan_follower.hpp
+++ b/src/fleet/plan_follower.hpp
@@ -57,6 +57,7 @@
         auto operator<=>(const transfer&) const = default;
     };
 
+    transfer& current_transfer();
     void request_after(duration pause);
     void request_page();
     void handle_page(const transport::endpoint& source,
--- a/tests/fleet/large_plan_test.cpp
+++ b/tests/fleet/large_plan_test.cpp
@@ -99,6 +99,8 @@
     directory_server directory;
     std::unique_ptr<transport::http2_server> server;
     slow_link link;
+    /// Requests that the former version does not know; not answered yet.
+    std::vector<std::shared_ptr<transport::http_exchange>> unknown_requests;
 
 private:
     void handle(transport::http_request request,
@@ -107,7 +109,11 @@
         if (former_version_)
         {
             request.headers.clear();
-            ASSERT_EQ(request.path, "/v1/directory");
+            if (request.path != "/v1/directory")
+            {
+                unknown_requests.push_back(answer);
+                return;
+            }
         }
         EXPECT_TRUE(directory.handle(request, answer));
     }
@@ -257,4 +263,25 @@
     EXPECT_EQ(control_.directory.plans().pages(), 0U);
 }
 
+// Guards against an entry instance that fails because a control instance of the
+// former version has taken over while a page of the plan was outstanding.
+TEST_F(large_plan, is_replaced_by_a_whole_plan_during_its_transfer)
+{
+    control_.publish(make_large_plan(1, route_count));
+    const auto entry = start_entry();
+    ASSERT_TRUE(run_until([&] { return control_.relayed_pages(3); }, 1s));
+    control_.set_former_version();
+    ASSERT_TRUE(
+        run_until([&] { return control_.unknown_requests.size() == 1; }, 1s));
+    control_.publish(make_large_plan(2, 10));
+    run_until([] { return false; }, 100ms);
+    control_.publish(make_large_plan(3, 10));
+    ASSERT_TRUE(run_until_version(*entry, 3));
+    ASSERT_EQ(control_.unknown_requests.size(), 1U);
+    control_.unknown_requests.front()->respond(
+        {.status = 404, .headers = {}, .body = {}});
+    run_until([] { return false; }, 200ms);
+    EXPECT_EQ(entry->router().route_count(), 10U);
+}
+
 } // namespace boragestand::fleet
