--- a/src/fleet/directory_client.cpp
+++ b/src/fleet/directory_client.cpp
@@ -38,6 +38,8 @@
     request.epoch = epoch_;
     request.cursor = cursor_;
     request.wants_current = !request.from_replica && !current_;
+    // A version that was named is requested beside the directory, so it must
+    // not make every reply due at once.
     request.plan_version = std::max(request.plan_version, named_plan_);
     client_.request(
         {.method = "POST",
