Put the first group into the log before anything else

Operators would see a plan that was acknowledged in the first second of a fleet, and then no control group for good.

Cause: founders got the first group from the instance that decides on it, twice a second, while votes and entries did not wait for that. So a majority confirmed a plan although only one disk knew the group; without it the others were no voters in their own eyes. Class of fault: an acknowledgement that rests on state which is not replicated yet.

Change: the first entry of a new group is a membership entry with the group, so a majority knows it before anything else is committed.

--- a/src/agreement/agreement_leader.cpp
+++ b/src/agreement/agreement_leader.cpp
@@ -13,6 +13,23 @@
     progress_.update_members(core_.log().group(), core_.self(),
                              core_.log().last().index + 1, now);
     first_index_of_term_ = core_.log().last().index + 1;
+    append_first_entry(now);
+}
+
+// Only members that have learned the first group elsewhere know it before it is
+// in the log. The first entry holds it, so that a majority knows the group
+// before anything else is committed.
+void agreement_leader::append_first_entry(time_point now)
+{
+    const auto& log = core_.log();
+    const bool only_founded =
+        log.group_index() == 0 && log.snapshot()->last.index == 0;
+    if (only_founded)
+    {
+        append(protocol::entry_kind::membership,
+               protocol::encode_replica_group(log.group()), 0, now);
+        return;
+    }
     append(protocol::entry_kind::empty, {}, 0, now);
 }
 
--- a/src/agreement/agreement_leader.hpp
+++ b/src/agreement/agreement_leader.hpp
@@ -70,6 +70,7 @@
     void replicate(replica_id id, replica_progress& progress);
     void send_entries(replica_id id, replica_progress& progress);
     void send_chunk(replica_id id, replica_progress& progress);
+    void append_first_entry(time_point now);
     void append(protocol::entry_kind kind, std::string data,
                 std::uint64_t token, time_point now);
     void update_commit(time_point now);
--- a/tests/agreement/agreement_contract_test.cpp
+++ b/tests/agreement/agreement_contract_test.cpp
@@ -167,6 +167,25 @@
     }
 }
 
+// Guards against members that confirm a command before they know their group,
+// so that none of them stands for election once the founder is lost.
+TEST(agreement_contract, commits_nothing_before_a_majority_knows_the_group)
+{
+    simulated_group group(13, small_settings());
+    group.found({1, 2, 3}, {1});
+    ASSERT_TRUE(group.elect(1, seconds(3)));
+    group.propose(1, "x");
+    ASSERT_TRUE(group.run(seconds(1),
+                          [&] { return group.acknowledged().contains("x"); }));
+    group.at(1).kill();
+    ASSERT_TRUE(group.run(seconds(5),
+                          [&]
+                          {
+                              const auto* next = group.leader();
+                              return next != nullptr && next->holds("x");
+                          }));
+}
+
 // Guards against a read that misses a command that was answered before.
 TEST(agreement_contract, reads_see_all_earlier_answers)
 {
--- a/tests/agreement/simulated_group.cpp
+++ b/tests/agreement/simulated_group.cpp
@@ -34,7 +34,8 @@
                                                settings_, observer);
 }
 
-void simulated_group::found(const std::vector<std::uint32_t>& instances)
+void simulated_group::found(const std::vector<std::uint32_t>& instances,
+                            const std::set<std::uint32_t>& informed)
 {
     protocol::replica_group group;
     for (const auto instance : instances)
@@ -46,7 +47,8 @@
     group_ = group;
     for (const auto instance : instances)
     {
-        at(instance).create(group);
+        at(instance).create(informed.contains(instance) ? std::optional(group)
+                                                        : std::nullopt);
         at(instance).start();
     }
 }
--- a/tests/agreement/simulated_group.hpp
+++ b/tests/agreement/simulated_group.hpp
@@ -26,8 +26,15 @@
     simulated_group(std::uint64_t seed, agreement::agreement_settings settings);
     ~simulated_group() override;
 
-    /// Creates and starts the founding members.
-    void found(const std::vector<std::uint32_t>& instances);
+    /// Creates and starts the founding members, all of which know the group.
+    void found(const std::vector<std::uint32_t>& instances)
+    {
+        found(instances, {instances.begin(), instances.end()});
+    }
+
+    /// As above, but only the informed instances know the group.
+    void found(const std::vector<std::uint32_t>& instances,
+               const std::set<std::uint32_t>& informed);
 
     /// Starts an instance with an empty disk that is no member.
     void spawn(std::uint32_t instance);
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -152,6 +152,24 @@
     EXPECT_EQ(fleet_.read(), "seven");
 }
 
+// Guards against members that confirm a plan before they know their group: once
+// the only one that knew it had lost its disk, they elected no leader any more.
+TEST_F(fleet_test, keeps_a_plan_whose_leader_is_lost_right_after_founding)
+{
+    // Instance 1 decides on the group; the others ask for it twice a second, so
+    // they have just asked in vain.
+    fleet_.start(2);
+    fleet_.start(3);
+    fleet_.run_for(50ms);
+    fleet_.start(1);
+    ASSERT_TRUE(fleet_.submit(7, "seven"));
+    fleet_.kill(1);
+    fleet_.lose_disk(1);
+    fleet_.start(1, false);
+    ASSERT_TRUE(fleet_.run_until([&] { return fleet_.has_voters(3); }));
+    EXPECT_EQ(fleet_.read(), "seven");
+}
+
 // Guards against a group that shrinks permanently or keeps failed members when
 // an instance is replaced by one at another address.
 TEST_F(fleet_test, replaces_a_lost_member_by_its_successor)
