Share the numbered plans of tests

Cause: three tests and a benchmark of the transfer of plans each made the same routes. Change: tests/support/numbered_plan.hpp makes them; no check changes.

--- a/tests/benchmarks/plan_transfer_benchmark.cpp
+++ b/tests/benchmarks/plan_transfer_benchmark.cpp
@@ -1,6 +1,7 @@
 // Measures what the transfer of a plan costs an entry instance and a control
 // instance at several sizes of the plan.
 
+#include "../support/numbered_plan.hpp"
 #include "coordination/coordination.hpp"
 
 #include <benchmark/benchmark.h>
@@ -11,23 +12,6 @@
 namespace
 {
 
-std::shared_ptr<state::routing_plan> make_plan(std::size_t routes)
-{
-    auto plan = std::make_shared<state::routing_plan>();
-    plan->version = 1;
-    plan->services = {{"desk", "", 0}};
-    for (std::size_t number = 0; number < routes; ++number)
-    {
-        state::service_route route;
-        route.name = "r-" + std::to_string(hash_text(std::to_string(number)));
-        route.address = {0xc6120000U + static_cast<std::uint32_t>(number), 443};
-        route.services = {{"desk", 1}};
-        route.timeout_ms = 1000;
-        plan->routes.push_back(route);
-    }
-    return plan;
-}
-
 std::shared_ptr<state::routing_plan>
 change_one_route(const state::routing_plan& plan)
 {
@@ -59,7 +43,8 @@
 void entry_takes_whole_plan(benchmark::State& state)
 {
     plan_publisher source;
-    source.publish(make_plan(static_cast<std::size_t>(state.range(0))));
+    source.publish(testing::make_numbered_plan(
+        1, static_cast<std::size_t>(state.range(0))));
     std::size_t bytes = 0;
     for ([[maybe_unused]] const auto& iteration : state)
     {
@@ -72,7 +57,8 @@
 void entry_takes_one_change(benchmark::State& state)
 {
     plan_publisher source;
-    auto plan = make_plan(static_cast<std::size_t>(state.range(0)));
+    auto plan = testing::make_numbered_plan(
+        1, static_cast<std::size_t>(state.range(0)));
     source.publish(plan);
     plan_copy copy;
     request_plan(copy, source);
@@ -91,7 +77,8 @@
 void control_publishes_one_change(benchmark::State& state)
 {
     plan_publisher source;
-    auto plan = make_plan(static_cast<std::size_t>(state.range(0)));
+    auto plan = testing::make_numbered_plan(
+        1, static_cast<std::size_t>(state.range(0)));
     source.publish(plan);
     for ([[maybe_unused]] const auto& iteration : state)
     {
--- a/tests/fleet/large_plan_test.cpp
+++ b/tests/fleet/large_plan_test.cpp
@@ -1,3 +1,4 @@
+#include "../support/numbered_plan.hpp"
 #include "fleet_group.hpp"
 #include "recorded_exchange.hpp"
 #include "slow_link.hpp"
@@ -11,6 +12,7 @@
 {
 
 using namespace std::chrono_literals;
+using testing::make_numbered_plan;
 
 constexpr transport::endpoint loopback{0x7f000001, 0};
 constexpr std::size_t route_count = 10000;
@@ -18,29 +20,6 @@
 /// The operators' bound until an acknowledged plan is in force.
 constexpr duration plan_limit = 4s;
 
-state::service_route make_route(std::size_t number)
-{
-    state::service_route route;
-    route.name = "r-" + std::to_string(hash_text(std::to_string(number)));
-    route.address = {0xc6120000U + static_cast<std::uint32_t>(number), 443};
-    route.services = {{"desk", 1}};
-    route.timeout_ms = 1000;
-    return route;
-}
-
-std::shared_ptr<state::routing_plan> make_large_plan(std::uint64_t version,
-                                                     std::size_t routes)
-{
-    auto plan = std::make_shared<state::routing_plan>();
-    plan->version = version;
-    plan->services = {{"desk", "", 0}};
-    for (std::size_t number = 0; number < routes; ++number)
-    {
-        plan->routes.push_back(make_route(number));
-    }
-    return plan;
-}
-
 /// The directory of a control instance, behind a link of its own.
 class control_stand_in
 {
@@ -122,7 +101,7 @@
 };
 
 /// An entry instance behind the slow link of a control instance.
-class large_plan : public testing::Test
+class large_plan : public ::testing::Test
 {
 protected:
     std::unique_ptr<entry_node> start_entry()
@@ -176,7 +155,7 @@
 // arrive within the time limit of one request.
 TEST_F(large_plan, reaches_an_entry_instance_over_a_slow_link)
 {
-    control_.publish(make_large_plan(1, route_count));
+    control_.publish(make_numbered_plan(1, route_count));
     const auto entry = start_entry();
     EXPECT_TRUE(run_until_version(*entry, 1));
 }
@@ -184,7 +163,7 @@
 // Guards against records of upstreams that wait until a plan has arrived.
 TEST_F(large_plan, does_not_delay_upstreams)
 {
-    control_.publish(make_large_plan(1, route_count));
+    control_.publish(make_numbered_plan(1, route_count));
     const auto entry = start_entry();
     ASSERT_TRUE(run_until([&] { return control_.relayed_pages(3); }, 1s));
     control_.add_upstream(1);
@@ -197,7 +176,7 @@
 // or the plan has changed.
 TEST_F(large_plan, keeps_what_arrived_before_a_connection_was_lost)
 {
-    auto plan = make_large_plan(1, route_count);
+    auto plan = make_numbered_plan(1, route_count);
     control_.publish(plan);
     const auto entry = start_entry();
     for (std::size_t lost = 1; lost <= 5; ++lost)
@@ -219,11 +198,11 @@
 // force within the time limit, also while a large growth is under way.
 TEST_F(large_plan, puts_a_series_of_changes_into_force_in_time)
 {
-    auto plan = make_large_plan(1, route_count - 2000);
+    auto plan = make_numbered_plan(1, route_count - 2000);
     control_.publish(plan);
     const auto entry = start_entry();
     ASSERT_TRUE(run_until_version(*entry, 1));
-    plan = make_large_plan(2, route_count);
+    plan = make_numbered_plan(2, route_count);
     control_.publish(plan);
     for (int change = 0; change < 20; ++change)
     {
@@ -241,7 +220,7 @@
 // other.
 TEST_F(large_plan, is_sent_whole_to_an_entry_instance_of_the_former_version)
 {
-    control_.publish(make_large_plan(3, 10));
+    control_.publish(make_numbered_plan(3, 10));
     coordination::directory_request request;
     request.plan_version = 2;
     const auto reply = control_.ask(request, {});
@@ -254,10 +233,10 @@
 TEST_F(large_plan, is_taken_whole_from_a_control_instance_of_the_former_version)
 {
     control_.set_former_version();
-    control_.publish(make_large_plan(1, 10));
+    control_.publish(make_numbered_plan(1, 10));
     const auto entry = start_entry();
     ASSERT_TRUE(run_until_version(*entry, 1));
-    control_.publish(make_large_plan(2, 12));
+    control_.publish(make_numbered_plan(2, 12));
     ASSERT_TRUE(run_until_version(*entry, 2));
     EXPECT_EQ(entry->router().route_count(), 12U);
     EXPECT_EQ(control_.directory.plans().pages(), 0U);
@@ -267,15 +246,15 @@
 // former version has taken over while a page of the plan was outstanding.
 TEST_F(large_plan, is_replaced_by_a_whole_plan_during_its_transfer)
 {
-    control_.publish(make_large_plan(1, route_count));
+    control_.publish(make_numbered_plan(1, route_count));
     const auto entry = start_entry();
     ASSERT_TRUE(run_until([&] { return control_.relayed_pages(3); }, 1s));
     control_.set_former_version();
     ASSERT_TRUE(
         run_until([&] { return control_.unknown_requests.size() == 1; }, 1s));
-    control_.publish(make_large_plan(2, 10));
+    control_.publish(make_numbered_plan(2, 10));
     run_until([] { return false; }, 100ms);
-    control_.publish(make_large_plan(3, 10));
+    control_.publish(make_numbered_plan(3, 10));
     ASSERT_TRUE(run_until_version(*entry, 3));
     ASSERT_EQ(control_.unknown_requests.size(), 1U);
     control_.unknown_requests.front()->respond(
--- a/tests/plans/plan_fixture.hpp
+++ b/tests/plans/plan_fixture.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../support/numbered_plan.hpp"
 #include "coordination/coordination.hpp"
 
 #include <gtest/gtest.h>
@@ -9,30 +10,8 @@
 namespace boragestand::coordination
 {
 
-inline state::service_route make_route(std::size_t number,
-                                       std::uint32_t timeout_ms = 1000)
-{
-    state::service_route route;
-    // The hash stands for names that do not compress.
-    route.name = "r-" + std::to_string(hash_text(std::to_string(number)));
-    route.address = {0xc6120000U + static_cast<std::uint32_t>(number), 443};
-    route.services = {{"desk", 1}};
-    route.timeout_ms = timeout_ms;
-    return route;
-}
-
-inline std::shared_ptr<state::routing_plan> make_plan(std::uint64_t version,
-                                                      std::size_t routes)
-{
-    auto plan = std::make_shared<state::routing_plan>();
-    plan->version = version;
-    plan->services = {{"desk", "", 0}};
-    for (std::size_t number = 0; number < routes; ++number)
-    {
-        plan->routes.push_back(make_route(number));
-    }
-    return plan;
-}
+using testing::make_numbered_plan;
+using testing::make_numbered_route;
 
 /// The next version of a plan, with a change.
 inline std::shared_ptr<state::routing_plan>
--- a/tests/plans/plan_transfer_property_test.cpp
+++ b/tests/plans/plan_transfer_property_test.cpp
@@ -15,14 +15,14 @@
     for (std::size_t i = 0; i < changes; ++i)
     {
         const auto number = *rc::gen::inRange<std::size_t>(0, 1200);
-        const auto address = make_route(number).address;
+        const auto address = make_numbered_route(number).address;
         const auto found = std::find_if(plan.routes.begin(), plan.routes.end(),
                                         [&](const auto& each)
                                         { return each.address == address; });
         const bool removes = *rc::gen::arbitrary<bool>();
         if (found == plan.routes.end())
         {
-            plan.routes.push_back(make_route(number));
+            plan.routes.push_back(make_numbered_route(number));
         }
         else if (removes)
         {
@@ -46,7 +46,7 @@
     constexpr std::size_t control_instances = 3;
     std::vector<plan_publisher> sources(control_instances);
     std::shared_ptr<const state::routing_plan> newest =
-        make_plan(1, *rc::gen::inRange<std::size_t>(0, 900));
+        make_numbered_plan(1, *rc::gen::inRange<std::size_t>(0, 900));
     std::map<std::uint64_t, std::shared_ptr<const state::routing_plan>>
         submitted{{1, newest}};
     plan_reader reader;
--- a/tests/plans/plan_transfer_test.cpp
+++ b/tests/plans/plan_transfer_test.cpp
@@ -19,7 +19,7 @@
 std::size_t bytes_of_one_change(std::size_t routes)
 {
     plan_publisher source;
-    const auto first = make_plan(1, routes);
+    const auto first = make_numbered_plan(1, routes);
     source.publish(first);
     plan_reader reader;
     reader.request_plan(source);
@@ -41,7 +41,7 @@
 TEST(plan_transfer, sends_a_large_plan_in_small_pages)
 {
     plan_publisher source;
-    const auto plan = make_plan(1, large);
+    const auto plan = make_numbered_plan(1, large);
     source.publish(plan);
     plan_reader reader;
     std::size_t sent = 0;
@@ -60,10 +60,10 @@
 TEST(plan_transfer, sends_a_growth_in_pages_of_its_own)
 {
     plan_publisher source;
-    source.publish(make_plan(1, large));
+    source.publish(make_numbered_plan(1, large));
     plan_reader reader;
     reader.request_plan(source);
-    const auto grown = make_plan(2, large + 4 * plan_page_routes);
+    const auto grown = make_numbered_plan(2, large + 4 * plan_page_routes);
     source.publish(grown);
     EXPECT_EQ(reader.request_plan(source).pages, 4U);
     EXPECT_TRUE(reader.plan.is(*grown));
@@ -74,7 +74,7 @@
 TEST(plan_transfer, removes_routes_and_replaces_settings)
 {
     plan_publisher source;
-    const auto first = make_plan(1, 20);
+    const auto first = make_numbered_plan(1, 20);
     source.publish(first);
     plan_reader reader;
     reader.request_plan(source);
@@ -83,7 +83,7 @@
                     [](state::routing_plan& plan)
                     {
                         plan.routes.erase(plan.routes.begin());
-                        plan.routes.push_back(make_route(50));
+                        plan.routes.push_back(make_numbered_route(50));
                         plan.services.push_back({"maps", "", 0});
                         plan.idle_timeout_ms = 7000;
                     });
@@ -97,7 +97,8 @@
 TEST(plan_transfer, skips_versions_that_were_replaced)
 {
     plan_publisher source;
-    std::shared_ptr<const state::routing_plan> plan = make_plan(1, 1000);
+    std::shared_ptr<const state::routing_plan> plan =
+        make_numbered_plan(1, 1000);
     source.publish(plan);
     plan_reader reader;
     reader.request_plan(source);
@@ -115,7 +116,7 @@
 TEST(plan_transfer, keeps_pages_over_another_source_and_a_newer_version)
 {
     plan_publisher former;
-    const auto first = make_plan(1, large);
+    const auto first = make_numbered_plan(1, large);
     former.publish(first);
     plan_reader reader;
     for (std::size_t page = 0; page + 1 < whole_pages; ++page)
@@ -135,7 +136,8 @@
 TEST(plan_transfer, ends_while_every_page_meets_a_newer_version)
 {
     plan_publisher source;
-    std::shared_ptr<const state::routing_plan> plan = make_plan(1, large);
+    std::shared_ptr<const state::routing_plan> plan =
+        make_numbered_plan(1, large);
     source.publish(plan);
     plan_reader reader;
     bool complete = false;
@@ -160,7 +162,7 @@
 TEST(plan_transfer, compares_parts_with_a_source_that_knows_no_former_version)
 {
     plan_publisher former;
-    const auto first = make_plan(1, large);
+    const auto first = make_numbered_plan(1, large);
     former.publish(first);
     plan_reader reader;
     reader.request_plan(former);
@@ -175,11 +177,11 @@
 TEST(plan_transfer, ignores_an_older_source)
 {
     plan_publisher current;
-    current.publish(make_plan(5, 10));
+    current.publish(make_numbered_plan(5, 10));
     plan_reader reader;
     reader.request_plan(current);
     plan_publisher stale;
-    stale.publish(make_plan(4, 8));
+    stale.publish(make_numbered_plan(4, 8));
     EXPECT_FALSE(reader.request_page(stale));
     EXPECT_EQ(reader.copy.version(), 5U);
 }
@@ -189,11 +191,11 @@
 TEST(plan_transfer, replaces_a_version_with_another_content)
 {
     plan_publisher source;
-    source.publish(make_plan(1, 600));
-    const auto second = make_plan(2, 500);
+    source.publish(make_numbered_plan(1, 600));
+    const auto second = make_numbered_plan(2, 500);
     source.publish(second);
     plan_publisher other;
-    other.publish(change_plan(*make_plan(0, 600), change_first_route));
+    other.publish(change_plan(*make_numbered_plan(0, 600), change_first_route));
     plan_reader reader;
     reader.request_plan(other);
     reader.request_plan(source);
@@ -204,7 +206,7 @@
 // instance of the version before, which sends it whole.
 TEST(plan_transfer, continues_after_a_whole_plan_of_an_earlier_program)
 {
-    const auto first = make_plan(1, 1000);
+    const auto first = make_numbered_plan(1, 1000);
     plan_reader reader;
     reader.plan.apply(*reader.copy.replace(*first));
     EXPECT_TRUE(reader.plan.is(*first));
@@ -221,14 +223,16 @@
 TEST(plan_transfer, discards_what_a_page_without_sense_has_changed)
 {
     plan_publisher source;
-    const auto first = make_plan(1, 1000);
+    const auto first = make_numbered_plan(1, 1000);
     source.publish(first);
     plan_reader reader;
     reader.request_plan(source);
     plan_page page;
     page.version = 2;
-    page.content = plan_changes{
-        {state::encode_route(make_route(2000)), "?"}, {}, std::nullopt};
+    page.content =
+        plan_changes{{state::encode_route(make_numbered_route(2000)), "?"},
+                     {},
+                     std::nullopt};
     EXPECT_FALSE(reader.copy.apply(page));
     page.content = plan_parts{{{7, {}}}};
     EXPECT_FALSE(reader.copy.apply(page));
