Grow the plan beside the faults of the soak

Change: plans grow by 200 to 1,500 routes at a time, to 10,000 at most, while instances are killed, frozen, cut off and lose a disk. Each must be acknowledged within 20 s, and at the end routes that were added must be served. The schedule of faults of a seed stays as it was.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -19,11 +19,15 @@
 RECOVERY_SECONDS = 12.0
 SETTLED_SECONDS = 5.0
 DESK, MAPS = ("198.18.0.1", 443), ("198.18.0.2", 443)
+ADDED_HOST, FIRST_ADDED_PORT = "198.18.1.1", 1000
+MAX_ROUTES = 10000
 
 
 class World:
     def __init__(self, options):
         self.random = random.Random(options.seed)
+        # Of its own, so that growth does not change the schedule of faults.
+        self.growth = random.Random(options.seed)
         network = f"127.{100 + os.getpid() % 100}.{options.seed % 250}"
         self.folder = tempfile.mkdtemp(prefix="soak_")
         self.fleet = Fleet(options.programs, self.folder, network)
@@ -135,6 +139,19 @@
             each.send(signal.SIGHUP)
         await asyncio.gather(self.operator.submit(), self.operator.submit())
 
+    async def grow_plan(self, seconds):
+        """Adds many routes at a time, beside the faults."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end and len(self.routes) < MAX_ROUTES:
+            await asyncio.sleep(self.growth.uniform(0.5, 3.0))
+            first = FIRST_ADDED_PORT + len(self.routes)
+            count = self.growth.randint(200, 1500)
+            self.routes += [(ADDED_HOST, port, "desk")
+                            for port in range(first, first + count)]
+            if not await self.operator.submit():
+                self.report(f"a plan of {len(self.routes)} routes was not "
+                            "acknowledged within 20 s")
+
     async def kill_control_group(self):
         await asyncio.gather(*(self.restart(each, signal.SIGKILL)
                                for each in self.fleet.controls))
@@ -186,8 +203,10 @@
         for index in range(6):
             await self.add_caller(index)
         await asyncio.sleep(2.0)
-        await self.inject_faults(seconds)
+        await asyncio.gather(self.inject_faults(seconds),
+                             self.grow_plan(seconds))
         await self.check_recovery()
+        await self.check_added_routes()
         self.stopping = True
         for upstream in self.upstreams:
             upstream.alive = False
@@ -207,6 +226,18 @@
         if served < 0.9 * asked:
             self.report(f"{served} of {asked} requests served after the faults")
 
+    async def check_added_routes(self):
+        caller = self.callers[0]
+        added = [each for each in self.routes if each[0] == ADDED_HOST]
+        for host, port, _ in self.growth.sample(added, 5) + added[-1:]:
+            for attempt in range(3):
+                name = f"desk/again/added-{port}-{attempt}"
+                if await caller.request((host, port), name):
+                    break
+            else:
+                self.report(f"no request to {host}:{port} is served, which was "
+                            "added during the faults")
+
 
 async def main():
     parser = argparse.ArgumentParser(description=__doc__)
@@ -221,6 +252,7 @@
         await world.fleet.stop()
     print(f"seed {options.seed}: asked {world.asked}, served {world.served}, "
           f"plans {world.operator.acknowledged}, "
+          f"routes {len(world.routes)}, "
           f"broken {len(world.failures)}", flush=True)
     if world.failures:
         print(f"logs are kept in {world.folder}")
