Start no second process of an instance in the soak

Cause: restarts of one instance overlap, and each started a process.

Change: an instance that runs is not started again.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -84,6 +84,9 @@
         return "abcd"[int(self.address.split(".")[-1]) % 4]
 
     def start(self, first_start=False):
+        # Restarts overlap, and a second process would outlive the test.
+        if self.running():
+            return
         os.makedirs(self.data, exist_ok=True)
         path = f"{self.fleet.folder}/{self.name}.yaml"
         with open(path, "w", encoding="utf-8") as file:
