--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the cases 11 to 15: machines with the project's programs, hosts,
+"""Stand-ins for case 11: machines with the project's programs, hosts,
 clients, the operator and the platform's routers, all on loopback addresses."""
 
 import asyncio
@@ -94,7 +94,7 @@
 class Machine:
     """One machine with the process of its role."""
 
-    def __init__(self, fleet, name, address, role, zone, roots=()):
+    def __init__(self, fleet, name, address, role, zone):
         self.fleet, self.name, self.address = fleet, name, address
         self.role, self.zone, self.process = role, zone, None
         self.data = f"{fleet.folder}/{name}"
@@ -350,9 +350,9 @@
                  port=8300):
         self.fleet, self.name, self.identity = fleet, name, identity
         self.service, self.address, self.zone = service, address, zone
-        self.port, self.delay, self.state = port, 0.0, "ready"
-        self.flows, self.sequence, self.acknowledged = {}, 0, None
-        self.born, self.received = int(time.time() * 1000), []
+        self.port, self.state = port, "ready"
+        self.flows, self.sequence = {}, 0
+        self.born = int(time.time() * 1000)
         self.transport = self.task = None
 
     async def start(self):
@@ -364,11 +364,6 @@
     def connection_made(self, transport):
         self.transport = transport
 
-    def stop(self):
-        if self.task:
-            self.task.cancel()
-        self.transport.close()
-
     def body(self):
         return json.dumps({
             "Service": self.service, "Address": f"{self.address}:{self.port}",
@@ -395,16 +390,14 @@
         """Answers the client of a packet directly."""
         reply = pack(packet.sport, packet.dport, packet.src, packet.dst, flags,
                      seq, ack, echo, data)
-        asyncio.get_running_loop().call_later(
-            self.delay, self.transport.sendto, reply,
-            (text(packet.src), self.fleet.datagram))
+        self.transport.sendto(reply,
+                              (text(packet.src), self.fleet.datagram))
 
     def datagram_received(self, data, _):
         if int.from_bytes(data[:8], "big") not in (0, self.identity):
             return
         packet = Packet(data[8:])
         flow = (packet.src, packet.sport, packet.dst, packet.dport)
-        self.received.append((time.monotonic(), flow, packet))
         held = self.flows.get(flow)
         what = "SYN" if packet.flags & SYN else (
             packet.data.decode(errors="replace") or "flags " +
@@ -459,7 +452,6 @@
         self.seq, self.echo, self.peer = random.randrange(1 << 30), 0, None
         self.expected, self.reset, self.answers = None, None, asyncio.Queue()
         self.opened, self.first = asyncio.Event(), b""
-        self.opened_at, self.host_number = None, None
 
     def send(self, flags, seq, ack, data=b""):
         echo = 0 if flags & SYN else self.echo
@@ -526,10 +518,8 @@
         self.echo = packet.echo
         if packet.flags & SYN:
             if not self.opened.is_set():
-                self.host_number = packet.seq
                 self.expected = packet.seq + 1
                 self.sent_seq = self.seq + 1
-                self.opened_at = time.monotonic()
                 self.send(ACK, self.sent_seq, self.expected, self.first)
                 self.opened.set()
             return
